--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,14 @@
+//! HTTP/1.1 client connections that tell whether a failed request may have taken effect.
+
+mod connection;
+mod failure;
+mod pool;
+
+pub use connection::{
+    Connection,
+    Limits,
+    Message,
+    Response, //
+};
+pub use failure::Failure;
+pub use pool::Pool;
--- /dev/null
+++ b/crates/control/src/clock/mod.rs
@@ -0,0 +1,8 @@
+//! The clock of a process.
+
+mod clock;
+
+pub use clock::{
+    Clock,
+    wall, //
+};
--- /dev/null
+++ b/crates/control/src/control/lead.rs
@@ -0,0 +1,255 @@
+//! Claiming, leading, and giving up.
+
+use super::Control;
+use crate::store;
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::{
+    Record,
+    record::Leader, //
+};
+use sassafrascrank_schedule::{
+    Engine,
+    engine::Succession,
+    runner, //
+};
+use sassafrascrank_trace::{
+    Event,
+    Value, //
+};
+use std::sync::Arc;
+
+/// Shortest time between two reads of the jobs by the leader. A job waits for half of it in the mean.
+const LEADER_PACE: Duration = Duration::from_millis(25);
+/// Shortest time between two reads by others; questions for jobs under way cause a read at once.
+pub(crate) const FOLLOWER_PACE: Duration = Duration::from_millis(300);
+/// Shortest time between two appends of the leader, in which decisions gather.
+const WRITE_PACE: Duration = Duration::from_millis(15);
+/// Time for which the state of an ended job is kept.
+const RETENTION: Duration = Duration::from_secs(300);
+/// Ended jobs that are forgotten with one append.
+const FORGET_LIMIT: usize = 50;
+
+/// A claim of this entry.
+#[derive(Clone, Debug)]
+pub(super) struct Claim {
+    pub(super) epoch: u64,
+    /// The log holds it.
+    pub(super) stored: bool,
+    /// The holder of the epoch before.
+    pub(super) predecessor: Option<Arc<str>>,
+}
+
+impl Control {
+    /// Claims, or begins to lead once everything needed has been read.
+    pub(super) fn advance_leadership(&mut self, wall: Time, now: Time) {
+        if self.jobs_read
+            && self.config.is_some()
+            && let Some(epoch) = self.seat.claim(now)
+        {
+            self.claim(epoch, now);
+        }
+        let ready = |claim: &Claim| {
+            let leader = self.book.leader();
+            claim.stored
+                && leader.is_some_and(|leader| {
+                    leader.epoch == claim.epoch && leader.holder == self.identity.name
+                })
+        };
+        if self.engine.is_none() && self.runners_read && self.claim.as_ref().is_some_and(ready) {
+            self.begin(wall, now);
+        }
+    }
+
+    fn claim(&mut self, epoch: u64, now: Time) {
+        let leader = self.book.leader();
+        self.claim = Some(Claim {
+            epoch,
+            stored: false,
+            predecessor: leader.map(|leader| Arc::clone(&leader.holder)),
+        });
+        let record = self.leader_record(epoch, false);
+        self.out
+            .requests
+            .push(store::Request::Lead { epoch, record });
+        self.out.requests.push(store::Request::Pace {
+            jobs: LEADER_PACE,
+            runners: true,
+        });
+        let silence = now.since(self.seat.heard_at());
+        let event = Event::new("claim", now)
+            .with("epoch", Value::Count(epoch))
+            .with("silence", Value::Span(silence));
+        self.out.events.push(event);
+    }
+
+    fn leader_record(&self, epoch: u64, resigned: bool) -> Record {
+        Record::Leader(Leader {
+            epoch,
+            holder: Arc::clone(&self.identity.name),
+            born: self.identity.born,
+            resigned,
+        })
+    }
+
+    /// Builds the scheduler from the log.
+    fn begin(&mut self, wall: Time, now: Time) {
+        let (Some(claim), Some(config)) = (&self.claim, &self.config) else {
+            return;
+        };
+        let ordered = match &claim.predecessor {
+            Some(_) => self.predecessor_heard + self.rules.tenure,
+            None => Time::MIN,
+        };
+        let same_holder = match &claim.predecessor {
+            Some(holder) => *holder == self.identity.name,
+            None => true,
+        };
+        let succession = Succession {
+            epoch: claim.epoch,
+            ordered,
+            same_holder,
+        };
+        let mut engine = Engine::new(self.rules, succession, config, now);
+        for listed in self.runners.values() {
+            engine.list(runner::Change::Set(listed.clone()), now);
+        }
+        for (_, entry) in self.book.jobs() {
+            engine.inherit(entry, wall, now);
+        }
+        for (&number, wave) in &self.waves {
+            let progress = self.book.waves().get(&number);
+            let hosts = wave.hosts.clone();
+            engine.wave(number, hosts, wave.duration, wave.cap, progress, now);
+        }
+        let (jobs, runs, ready) = engine.load();
+        let event = Event::new("leading", now)
+            .with("epoch", Value::Count(claim.epoch))
+            .with("jobs", Value::Count(jobs as u64))
+            .with("runs", Value::Count(runs as u64))
+            .with("ready", Value::Count(ready as u64))
+            .with("runners", Value::Count(self.runners.len() as u64));
+        self.out.events.push(event);
+        self.engine = Some(engine);
+        self.writing = false;
+    }
+
+    /// Lets the scheduler decide, and hands over what it wants stored and done.
+    pub(super) fn run_engine(&mut self, wall: Time, now: Time) {
+        let may_order = self.seat.may_order(now) && !self.stopping;
+        let Some(engine) = &mut self.engine else {
+            return;
+        };
+        engine.tick(may_order, wall, now);
+        if engine.is_deposed() {
+            self.lose_role("runner-fenced", now);
+            return;
+        }
+        for order in engine.take_orders() {
+            match order {
+                sassafrascrank_schedule::Order::Announce { wave, done } => self
+                    .out
+                    .requests
+                    .push(store::Request::Announce { wave, done }),
+                order => self.out.orders.push(order),
+            }
+        }
+        for note in engine.take_notes() {
+            self.out.events.push(super::output::event(note));
+        }
+        self.write(now);
+    }
+
+    /// Appends what the log lacks, or a record that shows that the leader lives.
+    fn write(&mut self, now: Time) {
+        if self.writing || now < self.wrote + WRITE_PACE {
+            return;
+        }
+        let Some(epoch) = self.seat.leading() else {
+            return;
+        };
+        let records = self.engine.as_mut().and_then(Engine::cut);
+        let records = match records {
+            Some(records) => records,
+            None if self.seat.is_pulse_due(now) => {
+                let old = self.book.expired(now - RETENTION, FORGET_LIMIT);
+                let mut records = vec![self.leader_record(epoch, false)];
+                records.extend(old.into_iter().map(Record::Forget));
+                records
+            }
+            None => return,
+        };
+        self.writing = true;
+        self.wrote = now;
+        self.out.requests.push(store::Request::Write(records));
+    }
+
+    /// Takes the fate of an append of the leader.
+    pub(super) fn take_written(
+        &mut self,
+        epoch: u64,
+        started: Time,
+        result: store::Written,
+        now: Time,
+    ) {
+        if self.claim.as_ref().is_none_or(|claim| claim.epoch != epoch) {
+            return;
+        }
+        if result == store::Written::Fenced {
+            self.lose_role("log-fenced", now);
+            return;
+        }
+        let event = Event::new("append", now).with("took", Value::Span(now.since(started)));
+        self.out.events.push(event.quiet());
+        if let Some(claim) = &mut self.claim
+            && !claim.stored
+        {
+            claim.stored = true;
+            self.seat.claimed(epoch, started);
+            return;
+        }
+        self.writing = false;
+        self.seat.confirm(started);
+        if let Some(engine) = &mut self.engine {
+            engine.stored(now);
+        }
+    }
+
+    /// Gives up the role or the claim.
+    pub(super) fn lose_role(&mut self, reason: &'static str, now: Time) {
+        let event = Event::new("role-lost", now).with("reason", Value::Word(reason));
+        self.out.events.push(event);
+        self.seat.step_down(now);
+        self.follow();
+    }
+
+    fn follow(&mut self) {
+        self.claim = None;
+        self.engine = None;
+        self.writing = false;
+        self.runners.clear();
+        self.runners_read = false;
+        self.out.requests.push(store::Request::Abandon);
+        self.out.requests.push(store::Request::Pace {
+            jobs: FOLLOWER_PACE,
+            runners: false,
+        });
+    }
+
+    /// Prepares the end of the process: resigns, and takes no more requests.
+    pub fn stop(&mut self, now: Time) {
+        self.stopping = true;
+        self.out.events.push(Event::new("stopping", now));
+        let Some(epoch) = self.seat.retire() else {
+            return;
+        };
+        let mut records = match &mut self.engine {
+            Some(engine) => engine.cut().unwrap_or_default(),
+            None => Vec::new(),
+        };
+        records.push(self.leader_record(epoch, true));
+        self.engine = None;
+        self.claim = None;
+        self.out.requests.push(store::Request::Write(records));
+        self.out.events.push(Event::new("resigned", now));
+    }
+}
--- /dev/null
+++ b/crates/control/src/drive/drive.rs
@@ -0,0 +1,169 @@
+//! Orders, each in a task of its own.
+
+use crate::{
+    clock::Clock,
+    port::{
+        Fleet,
+        Platform,
+        Runners, //
+    },
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_ring::{
+    Receiver,
+    Sender,
+    Signal, //
+};
+use sassafrascrank_schedule::order::{
+    Order,
+    report::{
+        Answer,
+        Report, //
+    },
+};
+use std::{
+    cell::RefCell,
+    rc::Rc, //
+};
+use tokio::{
+    task::spawn_local,
+    time::sleep, //
+};
+
+/// Pause before another try when the ring of reports is full.
+const FULL_PAUSE: Duration = Duration::from_millis(3);
+
+/// What the thread needs.
+pub struct Drive<P> {
+    /// The platform.
+    pub platform: P,
+    /// Orders of the thread that decides.
+    pub orders: Receiver<Order>,
+    /// Signal of that ring.
+    pub signal: Signal,
+    /// Reports for the thread that decides.
+    pub reports: Sender<Report>,
+    /// The clock of the process.
+    pub clock: Clock,
+}
+
+struct Shared<P: Platform> {
+    runners: P::Runners,
+    fleet: P::Fleet,
+    reports: RefCell<Sender<Report>>,
+    clock: Clock,
+}
+
+/// Runs until the orders end. It needs a local task set.
+pub async fn run<P: Platform>(mut drive: Drive<P>) {
+    let shared = Rc::new(Shared::<P> {
+        runners: drive.platform.runners(),
+        fleet: drive.platform.fleet(),
+        reports: RefCell::new(drive.reports),
+        clock: drive.clock,
+    });
+    loop {
+        let ready = || !drive.orders.is_empty() || drive.orders.is_closed();
+        drive.signal.wait(ready).await;
+        while let Some(order) = drive.orders.try_recv() {
+            let shared = Rc::clone(&shared);
+            spawn_local(async move { shared.carry_out(order).await });
+        }
+        if drive.orders.is_closed() {
+            return;
+        }
+    }
+}
+
+impl<P: Platform> Shared<P> {
+    async fn carry_out(&self, order: Order) {
+        let sent = self.clock.now();
+        let answer = |clock, result| Answer {
+            sent,
+            clock,
+            result,
+        };
+        let report = match order {
+            Order::Start(start) => {
+                let (clock, result) = self.runners.start(&start).await;
+                Report::Start {
+                    run: start.run,
+                    answer: answer(clock, result),
+                }
+            }
+            Order::Stop(stop) => {
+                let (clock, result) = self.runners.stop(&stop).await;
+                Report::Stop {
+                    run: stop.run,
+                    runner: stop.target.runner,
+                    answer: answer(clock, result),
+                }
+            }
+            Order::Look(look) => {
+                let (clock, result) = self.runners.look(&look).await;
+                Report::Look {
+                    runner: look.target.runner,
+                    acknowledged: look.acknowledged,
+                    answer: Answer {
+                        sent,
+                        clock,
+                        result,
+                    },
+                }
+            }
+            Order::Pace(pace) => {
+                let (clock, result) = self.runners.pace(&pace).await;
+                Report::Pace {
+                    run: pace.run,
+                    percent: pace.percent,
+                    answer: answer(clock, result),
+                }
+            }
+            Order::Advise {
+                step,
+                name,
+                runners,
+            } => Report::Advice {
+                step,
+                approved: self.runners.advise(name, &runners).await,
+            },
+            Order::Hosts => Report::Hosts(self.fleet.hosts().await),
+            Order::Move {
+                host,
+                name,
+                pool,
+                fence,
+            } => Report::Host {
+                host,
+                outcome: self.fleet.relocate(&name, &pool, fence).await,
+            },
+            Order::Maintain {
+                host,
+                name,
+                wave,
+                fence,
+            } => Report::Host {
+                host,
+                outcome: self.fleet.maintain(&name, wave, fence).await,
+            },
+            // The store publishes it.
+            Order::Announce { .. } => return,
+        };
+        self.send(report).await;
+    }
+
+    /// Sends a report, and waits while the ring is full.
+    async fn send(&self, mut report: Report) {
+        loop {
+            let sent = self.reports.borrow_mut().send(report);
+            match sent {
+                Ok(()) => return,
+                Err(back) => report = back,
+            }
+            if self.reports.borrow().is_closed() {
+                return;
+            }
+            sleep(FULL_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/front/front.rs
@@ -0,0 +1,106 @@
+//! The tasks of the thread.
+
+use super::{
+    Notice,
+    Request,
+    connection,
+    exchange::Exchange, //
+};
+use crate::{
+    clock::Clock,
+    port::Platform, //
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_ring::{
+    Receiver,
+    Sender,
+    Signal, //
+};
+use sassafrascrank_trace::Sink;
+use std::{
+    net,
+    rc::Rc, //
+};
+use tokio::{
+    net::TcpListener,
+    task::spawn_local,
+    time::sleep, //
+};
+
+/// Pause after a connection could not be accepted, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the thread needs.
+pub struct Front<P> {
+    /// The platform.
+    pub platform: P,
+    /// Listener for callers.
+    pub callers: net::TcpListener,
+    /// Listener for questions whether the entry is ready.
+    pub readiness: net::TcpListener,
+    /// Requests for the thread that decides.
+    pub requests: Sender<Request>,
+    /// What that thread tells.
+    pub notices: Receiver<Notice>,
+    /// Signal of that ring.
+    pub signal: Signal,
+    /// Events.
+    pub sink: Sink,
+    /// The clock of the process.
+    pub clock: Clock,
+}
+
+/// Runs until the last connection has ended after a [`Notice::Close`]. It needs a local task set.
+pub async fn run<P: Platform>(front: Front<P>) {
+    let mut notices = front.notices;
+    let exchange = Rc::new(Exchange::new(
+        front.platform.dialect(),
+        front.requests,
+        front.sink,
+        front.clock,
+    ));
+    if let Ok(listener) = TcpListener::from_std(front.callers) {
+        spawn_local(accept_callers::<P>(listener, Rc::clone(&exchange)));
+    }
+    if let Ok(listener) = TcpListener::from_std(front.readiness) {
+        spawn_local(accept_readiness::<P>(listener, Rc::clone(&exchange)));
+    }
+    loop {
+        let ready = || !notices.is_empty() || notices.is_closed();
+        front.signal.wait(ready).await;
+        while let Some(notice) = notices.try_recv() {
+            match notice {
+                Notice::Reply { caller, reply } => exchange.reply(caller, reply),
+                Notice::Config(config) => exchange.configure(config),
+                Notice::Ready(ready) => exchange.set_ready(ready),
+                Notice::Close => exchange.close(),
+            }
+        }
+        if notices.is_closed() {
+            exchange.drained().await;
+            return;
+        }
+    }
+}
+
+async fn accept_callers<P: Platform>(listener: TcpListener, exchange: Rc<Exchange<P::Dialect>>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(connection::serve(stream, Rc::clone(&exchange)));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn accept_readiness<P: Platform>(listener: TcpListener, exchange: Rc<Exchange<P::Dialect>>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(connection::serve_readiness(stream, Rc::clone(&exchange)));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/process/process.rs
@@ -0,0 +1,231 @@
+//! Start and end of a process.
+
+use super::{
+    Settings,
+    thread, //
+};
+use crate::{
+    clock::{
+        Clock,
+        wall, //
+    },
+    control::{
+        self,
+        Control,
+        Identity,
+        Ports, //
+    },
+    drive::{
+        self,
+        Drive, //
+    },
+    front::{
+        self,
+        Front, //
+    },
+    port::Platform,
+    store::{
+        self,
+        Store, //
+    },
+};
+use core::net::SocketAddr;
+use sassafrascrank_ring::{
+    Signal,
+    ring, //
+};
+use sassafrascrank_trace::{
+    Event,
+    Setup,
+    sink, //
+};
+use spdlog::Logger;
+use std::{
+    io,
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    thread::JoinHandle,
+};
+
+/// Requests of callers between two wake-ups of the thread that decides.
+const CALLS: usize = 1_024;
+/// Answers to callers.
+const NOTICES: usize = 1_024;
+/// Events of the log; one event holds all records of a read.
+const EVENTS: usize = 256;
+/// Requests to the log.
+const REQUESTS: usize = 1_024;
+/// Orders, and reports on them.
+const ORDERS: usize = 4_096;
+/// Events for logs and metrics.
+const TRACES: usize = 4_096;
+
+/// The process can't start or a thread has panicked.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[error("can't listen on {0} ({1}): free the address or change the settings")]
+    Listen(SocketAddr, io::Error),
+    /// A thread can't be started.
+    #[error("the thread {0} can't start ({1}): raise the limits on threads and memory")]
+    Thread(&'static str, io::Error),
+    /// A thread has panicked.
+    #[error("the thread {0} panicked: report the message above as a fault of sassafrascrank")]
+    Panicked(&'static str),
+}
+
+/// A running process.
+#[derive(Debug)]
+pub struct Process {
+    stop: Arc<AtomicBool>,
+    trace_stop: Arc<AtomicBool>,
+    wake: Signal,
+    trace_wake: Signal,
+    control: JoinHandle<()>,
+    front: JoinHandle<()>,
+    trace: JoinHandle<Result<(), sassafrascrank_trace::Error>>,
+}
+
+impl Process {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is in use or the system refuses a thread.
+    pub fn start<P: Platform>(
+        settings: Settings,
+        platform: P,
+        logger: Arc<Logger>,
+    ) -> Result<Self, Error> {
+        let callers = listen(settings.callers)?;
+        let readiness = listen(settings.readiness)?;
+        let metrics = settings.metrics.map(listen).transpose()?;
+        let clock = Clock::new();
+        let born = wall().as_micros();
+        let (wake, trace_wake) = (Signal::new(), Signal::new());
+        let (front_signal, store_signal, drive_signal) =
+            (Signal::new(), Signal::new(), Signal::new());
+        let (call_sender, calls) = ring(CALLS, &wake);
+        let (event_sender, events) = ring(EVENTS, &wake);
+        let (report_sender, reports) = ring(ORDERS, &wake);
+        let (notice_sender, notices) = ring(NOTICES, &front_signal);
+        let (request_sender, requests) = ring(REQUESTS, &store_signal);
+        let (order_sender, orders) = ring(ORDERS, &drive_signal);
+        let (front_sink, front_source) = sink("front", TRACES, &trace_wake);
+        let (mut control_sink, control_source) = sink("control", TRACES, &trace_wake);
+        control_sink.record(Event::new("start", clock.now()));
+        let stop = Arc::new(AtomicBool::new(false));
+        let trace_stop = Arc::new(AtomicBool::new(false));
+
+        let setup = Setup {
+            process: Arc::clone(&settings.name),
+            sources: vec![front_source, control_source],
+            signal: trace_wake.clone(),
+            clock: move || clock.now(),
+            logger,
+            listener: metrics,
+            stop: Arc::clone(&trace_stop),
+        };
+        let trace = start("observe", move || sassafrascrank_trace::run(setup))?;
+        let front = Front {
+            platform: platform.clone(),
+            callers,
+            readiness,
+            requests: call_sender,
+            notices,
+            signal: front_signal,
+            sink: front_sink,
+            clock,
+        };
+        let front = start("front", move || front::run(front))?;
+        let store = Store {
+            platform: platform.clone(),
+            name: Arc::clone(&settings.name),
+            born,
+            requests,
+            signal: store_signal,
+            events: event_sender,
+            clock,
+            pace: control::FOLLOWER_PACE,
+        };
+        start("store", move || store::run(store))?;
+        let drive = Drive {
+            platform,
+            orders,
+            signal: drive_signal,
+            reports: report_sender,
+            clock,
+        };
+        start("drive", move || drive::run(drive))?;
+        let ports = Ports {
+            calls,
+            notices: notice_sender,
+            events,
+            requests: request_sender,
+            reports,
+            orders: order_sender,
+            signal: wake.clone(),
+            sink: control_sink,
+            stop: Arc::clone(&stop),
+        };
+        let identity = Identity {
+            name: settings.name,
+            born,
+        };
+        let control = Control::new(identity, settings.lead, settings.rules, clock.now());
+        let control = start("control", move || control::run(control, ports, clock))?;
+        Ok(Self {
+            stop,
+            trace_stop,
+            wake,
+            trace_wake,
+            control,
+            front,
+            trace,
+        })
+    }
+
+    /// Stops the process: it resigns, serves the requests that it has, and ends its threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a thread has panicked.
+    pub fn shut_down(self) -> Result<(), Error> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.wake.raise();
+        self.control
+            .join()
+            .map_err(|_| Error::Panicked("control"))?;
+        self.front.join().map_err(|_| Error::Panicked("front"))?;
+        self.trace_stop.store(true, Ordering::SeqCst);
+        self.trace_wake.raise();
+        let trace = self.trace.join().map_err(|_| Error::Panicked("observe"))?;
+        // Without metrics the process has run to its end all the same.
+        drop(trace);
+        Ok(())
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).map_err(|error| Error::Listen(address, error))?;
+    listener
+        .set_nonblocking(true)
+        .map_err(|error| Error::Listen(address, error))?;
+    Ok(listener)
+}
+
+fn start<F, T>(name: &'static str, make: F) -> Result<JoinHandle<T::Output>, Error>
+where
+    F: FnOnce() -> T + Send + 'static,
+    T: Future,
+    T::Output: Send + 'static,
+{
+    thread::spawn(name, make).map_err(|error| Error::Thread(name, error))
+}
--- /dev/null
+++ b/crates/control/src/store/mod.rs
@@ -0,0 +1,17 @@
+//! The thread that talks to the platform's log.
+
+mod append;
+mod message;
+mod outlet;
+mod store;
+mod tail;
+
+pub use message::{
+    Event,
+    Request,
+    Written, //
+};
+pub use store::{
+    Store,
+    run, //
+};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
     Report,
     ResultExt, //
 };
+use sassafrascrank_adapter::SETTINGS_VARIABLE;
 use sassafrascrank_daemon::{
     Process,
     Settings,
@@ -16,6 +17,7 @@
         abort,
         exit, //
     },
+    sync::Arc,
 };
 use tokio::signal::unix::{
     Signal,
@@ -27,9 +29,12 @@
 Entry process of sassafrascrank: admits, queues, routes and answers requests.
 
 Usage: sassafrascrankd --settings FILE
+       sassafrascrankd --jobs [FILE]
 
 Options:
   --settings FILE  settings in JSON with comments, see examples/
+  --jobs [FILE]    accept jobs on the users' platform, with its settings file; without FILE, the environment variable
+                   SASSAFRASCRANK_NODE_FILE names it
   --check          check the settings and exit
   -h, --help       print this help
   -V, --version    print the version
@@ -64,6 +69,8 @@
     Version,
     Check(PathBuf),
     Run(PathBuf),
+    CheckJobs(PathBuf),
+    RunJobs(PathBuf),
 }
 
 fn main() -> ExitCode {
@@ -83,6 +90,7 @@
     use lexopt::prelude::*;
     let mut parser = lexopt::Parser::from_env();
     let mut settings = None;
+    let mut jobs = None;
     let mut check = false;
     while let Some(argument) = parser.next().change_context(Error::Usage)? {
         match argument {
@@ -92,9 +100,20 @@
             Long("settings") => {
                 settings = Some(PathBuf::from(parser.value().change_context(Error::Usage)?));
             }
+            Long("jobs") => jobs = Some(parser.optional_value().map(PathBuf::from)),
+            Value(file) if jobs == Some(None) => jobs = Some(Some(PathBuf::from(file))),
             other => return Err(Report::new(other.unexpected()).change_context(Error::Usage)),
         }
     }
+    if let Some(file) = jobs {
+        let unset = || Report::new(Error::Usage).attach("neither FILE nor the variable is given");
+        let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+        let file = file.or(named).ok_or_else(unset)?;
+        return Ok(match check {
+            true => Command::CheckJobs(file),
+            false => Command::RunJobs(file),
+        });
+    }
     let missing = || Report::new(Error::Usage).attach("--settings FILE is missing");
     let settings = settings.ok_or_else(missing)?;
     Ok(match check {
@@ -111,6 +130,10 @@
             load(path)?;
         }
         Command::Run(path) => serve(load(path)?)?,
+        Command::CheckJobs(path) => {
+            load_jobs(path)?;
+        }
+        Command::RunJobs(path) => serve_jobs(load_jobs(path)?)?,
     }
     Ok(())
 }
@@ -119,6 +142,43 @@
     Settings::load(&path).change_context(Error::Settings(path))
 }
 
+fn load_jobs(path: PathBuf) -> Result<sassafrascrank_adapter::Settings, Report<Error>> {
+    sassafrascrank_adapter::Settings::load(&path).change_context(Error::Settings(path))
+}
+
+/// Accepts jobs until a signal asks for the end.
+fn serve_jobs(settings: sassafrascrank_adapter::Settings) -> Result<(), Report<Error>> {
+    end_on_panic();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.change_context(Error::Start)?;
+    let mut signals = {
+        let _context = runtime.enter();
+        Signals::new().change_context(Error::Start)?
+    };
+    let logger = line_logger().change_context(Error::Start)?;
+    let process = settings.process();
+    let platform = sassafrascrank_adapter::Platform::new(settings);
+    let process = sassafrascrank_control::Process::start(process, platform, logger);
+    let process = process.change_context(Error::Start)?;
+    runtime.block_on(signals.next());
+    process.shut_down().change_context(Error::Shutdown)
+}
+
+/// Returns a logger that writes each message as a line of its own to the standard output.
+fn line_logger() -> spdlog::Result<Arc<spdlog::Logger>> {
+    let sink = spdlog::sink::StdStreamSink::builder()
+        .stdout()
+        .style_mode(spdlog::terminal_style::StyleMode::Never)
+        .formatter(spdlog::formatter::PatternFormatter::new(
+            spdlog::formatter::pattern!("{payload}{eol}"),
+        ))
+        .build()?;
+    let logger = spdlog::Logger::builder().sink(Arc::new(sink)).build()?;
+    Ok(Arc::new(logger))
+}
+
 fn serve(settings: Settings) -> Result<(), Report<Error>> {
     end_on_panic();
     let runtime = tokio::runtime::Builder::new_current_thread()
--- /dev/null
+++ b/crates/job/src/book/book.rs
@@ -0,0 +1,221 @@
+//! The fold of the log's records.
+
+use super::{
+    Entry,
+    Key, //
+};
+use crate::{
+    Id, Progress, Record,
+    progress::Outcome,
+    record::{
+        Leader,
+        Wave, //
+    },
+};
+use sassafrascrank_base::prelude::*;
+use slotmap::SlotMap;
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::Arc,
+};
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// No task has been ordered.
+    Queued,
+    /// A task has been ordered.
+    Running,
+    /// The job has ended.
+    Ended(Outcome),
+}
+
+/// What a record changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing that others have to know.
+    None,
+    /// A job is known from here on.
+    Added(Key),
+    /// A job is cancelled.
+    Cancelled(Key),
+    /// The progress of a job.
+    Progressed(Key),
+    /// The leader or its epoch.
+    Led,
+    /// The progress of a wave.
+    Waved(u64),
+    /// A job was dropped.
+    Forgotten(Id),
+}
+
+/// The fold of the log's records up to some offset.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    jobs: SlotMap<Key, Entry>,
+    index: HashMap<Id, Key>,
+    /// Number of jobs by queue of which no task has been ordered.
+    pending: HashMap<Arc<str>, u64>,
+    leader: Option<Leader>,
+    waves: BTreeMap<u64, Wave>,
+}
+
+impl Book {
+    /// Folds the record at `offset`, which was read at `now`.
+    pub fn apply(&mut self, offset: u64, record: Record, now: Time) -> Change {
+        match record {
+            Record::Job(job) => self.update(job.id, now, |entry| {
+                if entry.queue.is_some() {
+                    return Change::None;
+                }
+                entry.queue = Some(Arc::clone(&job.queue));
+                entry.job = Some(job);
+                Change::Added(Key::default())
+            }),
+            Record::Cancel(id) => self.update(id, now, |entry| {
+                if entry.cancelled.is_some() {
+                    return Change::None;
+                }
+                entry.cancelled = Some(offset);
+                Change::Cancelled(Key::default())
+            }),
+            Record::Progress(progress) => self.update(progress.id, now, |entry| {
+                if entry.progress.is_some() && offset <= entry.progress_offset {
+                    return Change::None;
+                }
+                entry.progress = Some(progress);
+                entry.progress_offset = offset;
+                Change::Progressed(Key::default())
+            }),
+            Record::Leader(leader) => {
+                let known = self.leader.as_ref().map_or(0, |known| known.epoch);
+                if leader.epoch >= known {
+                    self.leader = Some(leader);
+                }
+                Change::Led
+            }
+            Record::Wave(wave) => {
+                let number = wave.number;
+                let known = self.waves.get(&number).map_or(0, |known| known.epoch);
+                if wave.epoch >= known {
+                    self.waves.insert(number, wave);
+                }
+                Change::Waved(number)
+            }
+            Record::Forget(id) => self.forget(id),
+        }
+    }
+
+    /// Returns the key of a job whose submission was read.
+    pub fn find(&self, id: Id) -> Option<Key> {
+        let key = *self.index.get(&id)?;
+        self.jobs[key].queue.is_some().then_some(key)
+    }
+
+    /// Returns a job.
+    pub fn get(&self, key: Key) -> Option<&Entry> {
+        self.jobs.get(key)
+    }
+
+    /// Returns all jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = (Key, &Entry)> {
+        self.jobs.iter()
+    }
+
+    /// Returns the state of a job as callers see it.
+    pub fn state(&self, id: Id) -> Option<State> {
+        let entry = &self.jobs[self.find(id)?];
+        Some(match entry.outcome() {
+            Some(outcome) => State::Ended(outcome),
+            None if entry.has_begun() => State::Running,
+            None => State::Queued,
+        })
+    }
+
+    /// Returns the number of a queue's jobs of which no task has been ordered.
+    pub fn pending(&self, queue: &str) -> u64 {
+        self.pending.get(queue).copied().unwrap_or_default()
+    }
+
+    /// Returns the newest leader.
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref()
+    }
+
+    /// Returns how far the waves are, by number.
+    pub fn waves(&self) -> &BTreeMap<u64, Wave> {
+        &self.waves
+    }
+
+    /// Returns jobs whose end was read before `limit`, at most `count`.
+    pub fn expired(&self, limit: Time, count: usize) -> Vec<Id> {
+        let old = |entry: &&Entry| entry.ended.is_some_and(|ended| ended < limit);
+        let ids = self.jobs.values().filter(old).map(|entry| entry.id);
+        ids.take(count).collect()
+    }
+
+    /// Returns the number of jobs.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Tells whether there is no job.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    fn update(&mut self, id: Id, now: Time, change: impl FnOnce(&mut Entry) -> Change) -> Change {
+        let jobs = &mut self.jobs;
+        let key = *self
+            .index
+            .entry(id)
+            .or_insert_with(|| jobs.insert(Entry::new(id)));
+        let entry = &mut self.jobs[key];
+        let before = waits(entry);
+        let change = change(entry);
+        let after = waits(entry);
+        if entry.ended.is_none() && entry.outcome().is_some() {
+            entry.ended = Some(now);
+        }
+        let active = |progress: &Arc<Progress>| progress.is_active();
+        if entry.ended.is_some() && !entry.progress.as_ref().is_some_and(active) {
+            // No run of the job is left that would have to be stopped.
+            entry.job = None;
+        }
+        if let Some(queue) = &entry.queue
+            && before != after
+        {
+            let count = self.pending.entry(Arc::clone(queue)).or_default();
+            *count = match after {
+                true => *count + 1,
+                false => count.saturating_sub(1),
+            };
+        }
+        match change {
+            Change::Added(_) => Change::Added(key),
+            Change::Cancelled(_) => Change::Cancelled(key),
+            Change::Progressed(_) => Change::Progressed(key),
+            other => other,
+        }
+    }
+
+    fn forget(&mut self, id: Id) -> Change {
+        if let Some(key) = self.index.remove(&id)
+            && let Some(entry) = self.jobs.remove(key)
+            && waits(&entry)
+            && let Some(queue) = &entry.queue
+            && let Some(count) = self.pending.get_mut(queue)
+        {
+            *count = count.saturating_sub(1);
+        }
+        Change::Forgotten(id)
+    }
+}
+
+/// Tells whether the job counts as pending.
+fn waits(entry: &Entry) -> bool {
+    entry.queue.is_some() && !entry.has_begun() && entry.outcome().is_none()
+}
--- /dev/null
+++ b/crates/job/src/record/wire.rs
@@ -0,0 +1,385 @@
+//! Serialised records: a text key and a MessagePack value.
+
+use super::{
+    Leader,
+    Record,
+    Wave, //
+};
+use crate::{
+    Id, Job, Progress, Repeat, Resource, Step, Terms,
+    id::Position,
+    progress::{
+        self,
+        Assignment,
+        Outcome, //
+    },
+};
+use sassafrascrank_base::prelude::*;
+use std::sync::Arc;
+
+/// A record can't be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
+pub enum Error {
+    /// The key has an unknown form.
+    #[error("record key {0:?} is unknown: ignore the record, or upgrade this entry")]
+    Key(String),
+    /// The value can't be decoded.
+    #[error("record {key:?} can't be decoded ({reason}): ignore it, or upgrade this entry")]
+    Value {
+        /// Key of the record.
+        key: String,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+const LEADER_KEY: &str = "leader";
+
+#[derive(serde::Deserialize, serde::Serialize)]
+struct WireStep {
+    count: u16,
+    need: Resource,
+    estimate: u64,
+    after: Vec<u16>,
+    /// Bits in the order of [`FLAGS`].
+    flags: u8,
+    label: Option<Box<str>>,
+    rack: Option<Box<str>>,
+    spread: Option<u16>,
+    image: Option<Box<str>>,
+    target: Option<u64>,
+    may_miss: Option<u16>,
+}
+
+/// Bits of [`WireStep::flags`].
+const CHECKPOINTS: u8 = 1;
+const GANG: u8 = 1 << 1;
+const COUPLED: u8 = 1 << 2;
+const SPECULATIVE: u8 = 1 << 3;
+const LASTING: u8 = 1 << 4;
+const FILLS: u8 = 1 << 5;
+
+#[derive(serde::Deserialize, serde::Serialize)]
+struct WireJob {
+    queue: String,
+    /// Pool, priority, attempts, stretch, target.
+    terms: (String, u8, u16, u32, u64),
+    specification: String,
+    steps: Vec<WireStep>,
+    repeat: Option<(u32, u64, u64)>,
+    submitted: u64,
+}
+
+#[derive(serde::Deserialize, serde::Serialize)]
+struct WireTask {
+    position: (u32, u16, u16),
+    done: bool,
+    failures: u16,
+    attempt: u32,
+    /// Runner, its birth, its host, attempt.
+    assignments: Vec<(String, u64, String, u32)>,
+    checkpoint: Option<String>,
+}
+
+#[derive(serde::Deserialize, serde::Serialize)]
+struct WireProgress {
+    epoch: u64,
+    outcome: Option<Outcome>,
+    begun: bool,
+    finished: u32,
+    tasks: Vec<WireTask>,
+}
+
+#[derive(serde::Deserialize, serde::Serialize)]
+struct WireLeader {
+    epoch: u64,
+    holder: String,
+    born: u64,
+    resigned: bool,
+}
+
+#[derive(serde::Deserialize, serde::Serialize)]
+struct WireWave {
+    epoch: u64,
+    begun: Vec<String>,
+    done: bool,
+}
+
+/// Returns the key and the value of a record.
+pub fn encode(record: &Record) -> (String, Vec<u8>) {
+    match record {
+        Record::Job(job) => (format!("j{}", job.id), pack(&WireJob::from(job.as_ref()))),
+        Record::Cancel(id) => (format!("c{id}"), pack(&true)),
+        Record::Progress(progress) => (
+            format!("p{}", progress.id),
+            pack(&WireProgress::from(progress.as_ref())),
+        ),
+        Record::Leader(leader) => (LEADER_KEY.to_owned(), pack(&WireLeader::from(leader))),
+        Record::Wave(wave) => (format!("w{}", wave.number), pack(&WireWave::from(wave))),
+        Record::Forget(id) => (format!("j{id}"), Vec::new()),
+    }
+}
+
+/// Reads a record.
+///
+/// # Errors
+///
+/// Fails if the key is unknown or the value does not fit the key.
+pub fn decode(key: &str, value: &[u8]) -> Result<Record, Error> {
+    if key == LEADER_KEY {
+        return Ok(Record::Leader(unpack::<WireLeader>(key, value)?.into()));
+    }
+    let unknown = || Error::Key(key.chars().take(40).collect());
+    let (kind, name) = key.split_at_checked(1).ok_or_else(unknown)?;
+    if kind == "w" {
+        let number = name.parse().map_err(|_| unknown())?;
+        let wire: WireWave = unpack(key, value)?;
+        return Ok(Record::Wave(wire.with_number(number)));
+    }
+    let id = Id::try_from(name).map_err(|_| unknown())?;
+    match kind {
+        "j" if value.is_empty() => Ok(Record::Forget(id)),
+        "j" => {
+            let job = unpack::<WireJob>(key, value)?.with_id(id);
+            Ok(Record::Job(Arc::new(job)))
+        }
+        "c" => Ok(Record::Cancel(id)),
+        "p" => {
+            let progress = unpack::<WireProgress>(key, value)?.with_id(id);
+            Ok(Record::Progress(Arc::new(progress)))
+        }
+        _ => Err(unknown()),
+    }
+}
+
+/// Returns the keys under which records of a job are kept.
+pub fn keys(id: Id) -> [String; 3] {
+    [format!("j{id}"), format!("c{id}"), format!("p{id}")]
+}
+
+fn pack<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    // Writing into memory fails only for types that MessagePack has no form for; these have one.
+    rmp_serde::to_vec(value).unwrap_or_default()
+}
+
+fn unpack<T: serde::de::DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, Error> {
+    rmp_serde::from_slice(value).map_err(|error| Error::Value {
+        key: key.chars().take(40).collect(),
+        reason: error.to_string(),
+    })
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl From<&Step> for WireStep {
+    fn from(step: &Step) -> Self {
+        let bit = |set: bool, bit: u8| if set { bit } else { 0 };
+        Self {
+            count: step.count,
+            need: step.need,
+            estimate: millis(step.estimate),
+            after: step.after.to_vec(),
+            flags: bit(step.checkpoints, CHECKPOINTS)
+                | bit(step.gang, GANG)
+                | bit(step.coupled, COUPLED)
+                | bit(step.speculative, SPECULATIVE)
+                | bit(step.lasting, LASTING)
+                | bit(step.fills, FILLS),
+            label: step.label.clone(),
+            rack: step.rack.clone(),
+            spread: step.spread,
+            image: step.image.clone(),
+            target: step.target.map(millis),
+            may_miss: step.may_miss,
+        }
+    }
+}
+
+impl From<WireStep> for Step {
+    fn from(wire: WireStep) -> Self {
+        let has = |bit: u8| wire.flags & bit != 0;
+        Self {
+            count: wire.count,
+            need: wire.need,
+            estimate: Duration::from_millis(wire.estimate),
+            after: wire.after.into(),
+            checkpoints: has(CHECKPOINTS),
+            gang: has(GANG),
+            coupled: has(COUPLED),
+            label: wire.label,
+            rack: wire.rack,
+            spread: wire.spread,
+            speculative: has(SPECULATIVE),
+            lasting: has(LASTING),
+            image: wire.image,
+            target: wire.target.map(Duration::from_millis),
+            fills: has(FILLS),
+            may_miss: wire.may_miss,
+        }
+    }
+}
+
+impl From<&Job> for WireJob {
+    fn from(job: &Job) -> Self {
+        let repeat = |repeat: Repeat| {
+            let first = repeat.first.as_millis();
+            (repeat.count, first, millis(repeat.period))
+        };
+        Self {
+            queue: job.queue.to_string(),
+            terms: (
+                job.terms.pool.to_string(),
+                job.terms.priority,
+                job.terms.attempts,
+                job.terms.stretch,
+                millis(job.terms.target),
+            ),
+            specification: job.specification.to_string(),
+            steps: job.steps.iter().map(WireStep::from).collect(),
+            repeat: job.repeat.map(repeat),
+            submitted: job.submitted.as_micros(),
+        }
+    }
+}
+
+impl WireJob {
+    fn with_id(self, id: Id) -> Job {
+        let (pool, priority, attempts, stretch, target) = self.terms;
+        Job {
+            id,
+            queue: self.queue.into(),
+            terms: Terms {
+                pool: pool.into(),
+                priority,
+                attempts,
+                stretch,
+                target: Duration::from_millis(target),
+            },
+            specification: self.specification.into(),
+            steps: self.steps.into_iter().map(Step::from).collect(),
+            repeat: self.repeat.map(|(count, first, period)| Repeat {
+                count,
+                first: Time::from_millis(first),
+                period: Duration::from_millis(period),
+            }),
+            submitted: Time::from_micros(self.submitted),
+        }
+    }
+}
+
+impl From<&progress::Task> for WireTask {
+    fn from(task: &progress::Task) -> Self {
+        let Position {
+            occurrence,
+            step,
+            index,
+        } = task.position;
+        let place = |at: &Assignment| {
+            let host = at.host.to_string();
+            (at.runner.to_string(), at.born, host, at.attempt)
+        };
+        Self {
+            position: (occurrence, step, index),
+            done: task.done,
+            failures: task.failures,
+            attempt: task.attempt,
+            assignments: task.assignments.iter().map(place).collect(),
+            checkpoint: task.checkpoint.as_deref().map(str::to_owned),
+        }
+    }
+}
+
+impl From<WireTask> for progress::Task {
+    fn from(wire: WireTask) -> Self {
+        let (occurrence, step, index) = wire.position;
+        let place = |(runner, born, host, attempt): (String, u64, String, u32)| Assignment {
+            runner: runner.into(),
+            born,
+            host: host.into(),
+            attempt,
+        };
+        Self {
+            position: Position {
+                occurrence,
+                step,
+                index,
+            },
+            done: wire.done,
+            failures: wire.failures,
+            attempt: wire.attempt,
+            assignments: wire.assignments.into_iter().map(place).collect(),
+            checkpoint: wire.checkpoint.map(Arc::from),
+        }
+    }
+}
+
+impl From<&Progress> for WireProgress {
+    fn from(progress: &Progress) -> Self {
+        Self {
+            epoch: progress.epoch,
+            outcome: progress.outcome,
+            begun: progress.begun,
+            finished: progress.finished,
+            tasks: progress.tasks.iter().map(WireTask::from).collect(),
+        }
+    }
+}
+
+impl WireProgress {
+    fn with_id(self, id: Id) -> Progress {
+        Progress {
+            id,
+            epoch: self.epoch,
+            outcome: self.outcome,
+            begun: self.begun,
+            finished: self.finished,
+            tasks: self.tasks.into_iter().map(progress::Task::from).collect(),
+        }
+    }
+}
+
+impl From<&Leader> for WireLeader {
+    fn from(leader: &Leader) -> Self {
+        Self {
+            epoch: leader.epoch,
+            holder: leader.holder.to_string(),
+            born: leader.born,
+            resigned: leader.resigned,
+        }
+    }
+}
+
+impl From<WireLeader> for Leader {
+    fn from(wire: WireLeader) -> Self {
+        Self {
+            epoch: wire.epoch,
+            holder: wire.holder.into(),
+            born: wire.born,
+            resigned: wire.resigned,
+        }
+    }
+}
+
+impl From<&Wave> for WireWave {
+    fn from(wave: &Wave) -> Self {
+        Self {
+            epoch: wave.epoch,
+            begun: wave.begun.iter().map(|host| host.to_string()).collect(),
+            done: wave.done,
+        }
+    }
+}
+
+impl WireWave {
+    fn with_number(self, number: u64) -> Wave {
+        Wave {
+            number,
+            epoch: self.epoch,
+            begun: self.begun.into_iter().map(Arc::from).collect(),
+            done: self.done,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lead/src/seat/mod.rs
@@ -0,0 +1,11 @@
+//! The seat of the leader, as one entry sees it.
+
+mod rules;
+mod seat;
+
+pub use rules::Rules;
+pub use seat::{
+    Heard,
+    Role,
+    Seat, //
+};
--- /dev/null
+++ b/crates/lead/src/seat/rules.rs
@@ -0,0 +1,31 @@
+//! Times of the leadership.
+
+use sassafrascrank_base::prelude::*;
+
+/// Times of the leadership; they are equal at all entries of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// Time without a record of the leader, spent reading, after which another entry claims. It has to cover an
+    /// append and a read on a log that is slow: about 0.6 s when its answers take 60 times as long.
+    pub silence: Duration,
+    /// Time after the start of its last confirmed append for which a leader orders and renews leases.
+    pub tenure: Duration,
+    /// Time after which a leader without other records appends one.
+    pub pulse: Duration,
+    /// Spread of claims, so that entries don't claim at once.
+    pub stagger: Duration,
+    /// Age of the last successful read up to which the log counts as read.
+    pub freshness: Duration,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            silence: Duration::from_millis(1_500),
+            tenure: Duration::from_millis(2_500),
+            pulse: Duration::from_millis(400),
+            stagger: Duration::from_millis(300),
+            freshness: Duration::from_millis(700),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lead/src/seat/seat.rs
@@ -0,0 +1,189 @@
+//! When an entry claims, and when a leader may order.
+
+use super::Rules;
+use sassafrascrank_base::prelude::*;
+
+/// Low bits of an epoch, which differ between the claims of two entries in the same round.
+const ROUND_SHIFT: u32 = 16;
+
+/// Part of an entry in the leadership.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Another entry leads, or none.
+    Follower,
+    /// A claim is on its way.
+    Candidate {
+        /// Epoch of the claim.
+        epoch: u64,
+    },
+    /// This entry leads.
+    Leader {
+        /// Epoch of the claim.
+        epoch: u64,
+    },
+}
+
+/// A record by a leader, as it was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Heard {
+    /// Epoch of its writer.
+    pub epoch: u64,
+    /// The writer gave up its role.
+    pub resigned: bool,
+    /// The writer is an earlier life of this process.
+    pub own_past: bool,
+}
+
+/// The seat of the leader, as one entry sees it.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    rules: Rules,
+    /// Differs between processes; breaks ties.
+    identity: u64,
+    role: Role,
+    heard: Option<Heard>,
+    heard_at: Time,
+    /// Start of the current stretch of successful reads.
+    reading_since: Option<Time>,
+    read_at: Time,
+    /// Start of the last confirmed append of this leader.
+    confirmed: Time,
+    /// The entry is ending and doesn't claim.
+    retired: bool,
+}
+
+impl Seat {
+    /// Makes the seat of a process that has read nothing yet.
+    pub fn new(rules: Rules, identity: u64, now: Time) -> Self {
+        Self {
+            rules,
+            identity,
+            role: Role::Follower,
+            heard: None,
+            heard_at: now,
+            reading_since: None,
+            read_at: Time::MIN,
+            confirmed: Time::MIN,
+            retired: false,
+        }
+    }
+
+    /// Returns the part of this entry.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Returns the epoch if this entry leads.
+    pub fn leading(&self) -> Option<u64> {
+        match self.role {
+            Role::Leader { epoch } => Some(epoch),
+            _ => None,
+        }
+    }
+
+    /// Returns when the last record of any leader was read.
+    pub fn heard_at(&self) -> Time {
+        self.heard_at
+    }
+
+    /// Takes the result of a read of the log, which started at `started`.
+    pub fn read(&mut self, success: bool, started: Time, now: Time) {
+        if !success {
+            self.reading_since = None;
+        } else {
+            self.reading_since.get_or_insert(started);
+            self.read_at = now;
+        }
+    }
+
+    /// Takes a record by a leader. Returns whether this entry has lost its role.
+    pub fn hear(&mut self, heard: Heard, now: Time) -> bool {
+        let known = self.heard.map_or(0, |known| known.epoch);
+        if heard.epoch < known {
+            return false;
+        }
+        self.heard = Some(heard);
+        self.heard_at = now;
+        match self.role {
+            Role::Leader { epoch } | Role::Candidate { epoch } if heard.epoch > epoch => {
+                self.role = Role::Follower;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the epoch of a claim that has to be appended now.
+    pub fn claim(&mut self, now: Time) -> Option<u64> {
+        if self.retired || self.role != Role::Follower {
+            return None;
+        }
+        let since = self.reading_since?;
+        if now.since(self.read_at) > self.rules.freshness {
+            // A pause of the process, or of the log, is no silence of the leader.
+            self.reading_since = None;
+            return None;
+        }
+        let start = since.max(self.heard_at);
+        if now < start + self.patience() {
+            return None;
+        }
+        let round = self.heard.map_or(0, |heard| heard.epoch >> ROUND_SHIFT) + 1;
+        let low = self.identity & ((1 << ROUND_SHIFT) - 1);
+        let epoch = (round << ROUND_SHIFT) | low;
+        self.role = Role::Candidate { epoch };
+        Some(epoch)
+    }
+
+    /// Takes the confirmation of the claim, whose append started at `started`.
+    pub fn claimed(&mut self, epoch: u64, started: Time) {
+        if self.role == (Role::Candidate { epoch }) {
+            self.role = Role::Leader { epoch };
+            self.confirmed = started;
+        }
+    }
+
+    /// Takes the confirmation of another append of this leader, which started at `started`.
+    pub fn confirm(&mut self, started: Time) {
+        self.confirmed = self.confirmed.max(started);
+    }
+
+    /// Gives up a role or a claim, because the log or a runner knows a higher epoch or the claim failed.
+    pub fn step_down(&mut self, now: Time) {
+        self.role = Role::Follower;
+        self.heard_at = self.heard_at.max(now);
+    }
+
+    /// Stops claiming, because the process ends. Returns the epoch to resign from.
+    pub fn retire(&mut self) -> Option<u64> {
+        self.retired = true;
+        let epoch = self.leading();
+        self.role = Role::Follower;
+        epoch
+    }
+
+    /// Tells whether a leader may order and renew leases.
+    pub fn may_order(&self, now: Time) -> bool {
+        self.leading().is_some() && now <= self.confirmed + self.rules.tenure
+    }
+
+    /// Tells whether a leader has to append a record, although nothing has changed.
+    pub fn is_pulse_due(&self, now: Time) -> bool {
+        self.leading().is_some() && now >= self.confirmed + self.rules.pulse
+    }
+
+    /// Returns the time of silence after which this entry claims.
+    fn patience(&self) -> Duration {
+        let stagger = self
+            .rules
+            .stagger
+            .mul_f64((self.identity >> 48) as f64 / 65_536.0);
+        match self.heard {
+            // No other process can lead with the epoch of this process's earlier life.
+            Some(heard) if heard.own_past => Duration::ZERO,
+            Some(heard) if heard.resigned => stagger / 4,
+            None => stagger,
+            Some(_) => self.rules.silence + stagger,
+        }
+    }
+}
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -1,11 +1,5 @@
 //! Client of the platform's log and host list.
 
-use super::connection::{
-    Connection,
-    Failure,
-    RESPONSE_LIMIT,
-    Response, //
-};
 use crate::{
     api::{
         Directory,
@@ -28,6 +22,11 @@
     header, //
 };
 use sassafrascrank_base::prelude::*;
+use sassafrascrank_client::{
+    Connection,
+    Failure,
+    Response, //
+};
 use serde::de::DeserializeOwned;
 
 /// Time limits of one call.
@@ -49,9 +48,35 @@
     }
 }
 
+/// Largest answer in bytes; it holds a record of the largest size and its frame.
+const RESPONSE_LIMIT: usize = 2 * RECORD_LIMIT;
+
+/// Why there is no answer that can be used.
+enum Trouble {
+    /// The answer is larger than [`RESPONSE_LIMIT`].
+    Large,
+    /// Any other error.
+    Call(Error),
+}
+
+impl From<Failure> for Trouble {
+    fn from(failure: Failure) -> Self {
+        Self::Call(match failure {
+            Failure::Large(_) => return Self::Large,
+            Failure::Unsent(reason) => Error::Unavailable {
+                sent: false,
+                reason,
+            },
+            Failure::Broken(reason) => Error::Unavailable { sent: true, reason },
+            Failure::Timeout { sent, after } => Error::Timeout { sent, after },
+        })
+    }
+}
+
 /// Client with one connection.
 pub struct Client {
     connection: Connection,
+    limits: Limits,
     /// Host list that was read last, with its version.
     hosts: Option<(u64, Vec<Host>)>,
 }
@@ -60,7 +85,8 @@
     /// Makes a client that connects at its first call. It must be used on a `tokio` runtime.
     pub fn new(address: SocketAddr, limits: Limits) -> Self {
         Self {
-            connection: Connection::new(address, limits),
+            connection: Connection::new(address),
+            limits,
             hosts: None,
         }
     }
@@ -70,7 +96,7 @@
         self.connection.is_open()
     }
 
-    async fn call(&mut self, method: Method, path: &str, body: Bytes) -> Result<Response, Failure> {
+    async fn call(&mut self, method: Method, path: &str, body: Bytes) -> Result<Response, Trouble> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -80,11 +106,16 @@
         }
         let request = request
             .body(Full::new(body))
-            .map_err(|error| Failure::Call(Error::malformed("path", path, error.to_string())))?;
-        self.connection.call(request).await
+            .map_err(|error| Trouble::Call(Error::malformed("path", path, error.to_string())))?;
+        let limits = sassafrascrank_client::Limits {
+            connect: self.limits.connect,
+            answer: self.limits.answer,
+            bytes: RESPONSE_LIMIT,
+        };
+        Ok(self.connection.call(request, limits).await?)
     }
 
-    async fn get(&mut self, path: &str) -> Result<Response, Failure> {
+    async fn get(&mut self, path: &str) -> Result<Response, Trouble> {
         self.call(Method::GET, path, Bytes::new()).await
     }
 }
@@ -117,7 +148,7 @@
             let path = format!("/streams/{stream}/records?from={from}&limit={limit}");
             let answer = match self.get(&path).await {
                 // Large records may stand together, and one alone always fits.
-                Err(Failure::Large) if limit > 1 => {
+                Err(Trouble::Large) if limit > 1 => {
                     limit /= 2;
                     continue;
                 }
@@ -187,14 +218,14 @@
     }
 }
 
-fn convert(failure: Failure, append: bool) -> Error {
-    match failure {
-        Failure::Call(error) => error,
-        Failure::Large if append => Error::Unavailable {
+fn convert(trouble: Trouble, append: bool) -> Error {
+    match trouble {
+        Trouble::Call(error) => error,
+        Trouble::Large if append => Error::Unavailable {
             sent: true,
             reason: "the answer is too large".to_owned(),
         },
-        Failure::Large => {
+        Trouble::Large => {
             let value = format!("more than {RESPONSE_LIMIT} bytes");
             Error::malformed("body", value, "answer with fewer bytes")
         }
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -1,7 +1,6 @@
 //! The platform's HTTP interface.
 
 mod client;
-mod connection;
 
 pub use client::{
     Client,
--- /dev/null
+++ b/crates/schedule/src/engine/list.rs
@@ -0,0 +1,145 @@
+//! Runners that come and go.
+
+use super::Engine;
+use crate::{
+    note::{
+        Kind,
+        Note, //
+    },
+    runner::{
+        self,
+        Change,
+        Listed,
+        Runner, //
+    },
+};
+use sassafrascrank_base::prelude::*;
+
+impl Engine {
+    /// Takes a change of the service list.
+    pub fn list(&mut self, change: Change, now: Time) {
+        match change {
+            Change::Set(listed) => self.set_listed(&listed, now),
+            Change::Removed(id) => {
+                if let Some(&key) = self.runner_index.get(&id) {
+                    self.runners[key].listed = false;
+                    self.drop_unlisted(key, now);
+                }
+            }
+        }
+    }
+
+    fn set_listed(&mut self, listed: &Listed, now: Time) {
+        let pool = self.intern_pool(&listed.pool);
+        if let Some(&key) = self.runner_index.get(&listed.id) {
+            let known = &self.runners[key];
+            if known.born == listed.born && known.pool == pool {
+                self.update(key, listed, now);
+                return;
+            }
+            if known.born > listed.born {
+                return;
+            }
+            self.gone(key, "reborn", now);
+        }
+        self.end_earlier_lives(listed, now);
+        // Only runs of a former leader can run there, if any; nothing starts before the first answer.
+        let runner = Runner::new(listed, pool, self.inherited_until, now);
+        let key = self.runners.insert(runner);
+        self.runner_index.insert(listed.id.clone(), key);
+        self.pools[pool].runners.push(key);
+        self.note(Note::new(Kind::RunnerListed, "new", now).with_place(&listed.id));
+        if listed.draining.is_some() {
+            self.note(Note::new(Kind::RunnerDraining, "listed", now).with_place(&listed.id));
+        }
+    }
+
+    fn update(&mut self, key: runner::Key, listed: &Listed, now: Time) {
+        let runner = &mut self.runners[key];
+        let was_draining = runner.leaves.is_some();
+        runner.listed = true;
+        runner.address = Some(listed.address);
+        runner.capacity = listed.capacity;
+        runner.host = listed.host.clone();
+        runner.rack = listed.rack.clone();
+        runner.zone = listed.zone.clone();
+        runner.labels = listed.labels.clone();
+        runner.leaves = listed.draining.map(|left| now + left);
+        let pool = runner.pool;
+        if !self.pools[pool].runners.contains(&key) {
+            self.pools[pool].runners.push(key);
+        }
+        if listed.draining.is_some() && !was_draining {
+            self.note(Note::new(Kind::RunnerDraining, "listed", now).with_place(&listed.id));
+        }
+    }
+
+    /// Ends earlier lives on the host of a runner: a host has one runner at a time.
+    fn end_earlier_lives(&mut self, listed: &Listed, now: Time) {
+        if listed.host.is_empty() {
+            return;
+        }
+        let earlier = |runner: &Runner| runner.host == listed.host && runner.born < listed.born;
+        let keys = self.runners.iter().filter(|(_, runner)| earlier(runner));
+        let keys: Vec<runner::Key> = keys.map(|(key, _)| key).collect();
+        for key in keys {
+            self.gone(key, "host-reused", now);
+        }
+    }
+
+    /// Ends a life of a runner: nothing that it ran runs any more.
+    pub(super) fn gone(&mut self, key: runner::Key, reason: &'static str, now: Time) {
+        let Some(runner) = self.runners.get(key) else {
+            return;
+        };
+        let id = runner.id.clone();
+        for run in runner.runs.clone() {
+            self.lose(run, reason, now);
+        }
+        self.remove_runner(key);
+        self.note(Note::new(Kind::RunnerGone, reason, now).with_place(&id));
+    }
+
+    /// Drops a runner that is not listed and runs nothing.
+    pub(super) fn drop_unlisted(&mut self, key: runner::Key, now: Time) {
+        let Some(runner) = self.runners.get(key) else {
+            return;
+        };
+        if !runner.listed && runner.runs.is_empty() && runner.looking.is_none() {
+            let id = runner.id.clone();
+            self.remove_runner(key);
+            self.note(Note::new(Kind::RunnerGone, "left", now).with_place(&id));
+        }
+    }
+
+    fn remove_runner(&mut self, key: runner::Key) {
+        let Some(runner) = self.runners.remove(key) else {
+            return;
+        };
+        self.pools[runner.pool]
+            .runners
+            .retain(|&other| other != key);
+        if self.runner_index.get(&runner.id) == Some(&key) {
+            self.runner_index.remove(&runner.id);
+        }
+    }
+
+    /// Gives up the runs at runners that don't answer, once their leases have ended.
+    pub(super) fn expire(&mut self, now: Time) {
+        let silent = |runner: &Runner| {
+            let reachable = runner.fenced && runner.misses == 0 && runner.address.is_some();
+            !reachable && now > runner.expiry && !runner.runs.is_empty()
+        };
+        let keys = self.runners.iter().filter(|(_, runner)| silent(runner));
+        let keys: Vec<runner::Key> = keys.map(|(key, _)| key).collect();
+        for key in keys {
+            for run in self.runners[key].runs.clone() {
+                self.lose(run, "lease-ended", now);
+            }
+        }
+        let keys: Vec<runner::Key> = self.runners.keys().collect();
+        for key in keys {
+            self.drop_unlisted(key, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/engine/mod.rs
@@ -0,0 +1,23 @@
+//! The engine of the leader.
+
+mod admit;
+mod advice;
+mod end;
+mod engine;
+mod evict;
+mod gang;
+mod host;
+mod inherit;
+mod list;
+mod look;
+mod pace;
+mod place;
+mod report;
+mod run;
+mod store;
+mod tick;
+
+pub use engine::{
+    Engine,
+    Succession, //
+};
--- /dev/null
+++ b/crates/schedule/src/engine/run.rs
@@ -0,0 +1,237 @@
+//! Beginning, stopping and releasing runs.
+
+use super::{
+    Engine,
+    engine::Effect, //
+};
+use crate::{
+    note::Kind,
+    order::{
+        Order,
+        Start,
+        Stop,
+        Target, //
+    },
+    runner,
+    work::{
+        Run, State, TaskKey,
+        run::{
+            self,
+            Stage, //
+        },
+    },
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::{
+    Resource,
+    id, //
+};
+use std::sync::Arc;
+
+impl Engine {
+    /// Plans an attempt of a task at a runner; it starts once the log holds it.
+    pub(super) fn plan(
+        &mut self,
+        task: TaskKey,
+        runner: runner::Key,
+        attempt: u32,
+        ticket: Option<Arc<str>>,
+        now: Time,
+    ) {
+        self.unrank(task);
+        let work = &mut self.works[task.work];
+        work.begun = true;
+        let step = &work.job.steps[usize::from(task.step)];
+        let need = step.counted();
+        let name = name(work.job.id, task);
+        let Some(state) = work.task_mut(task.occurrence, task.step, task.index) else {
+            return;
+        };
+        state.attempt = attempt;
+        state.state = State::Active;
+        let key = self.runs.insert(Run {
+            task,
+            name,
+            attempt,
+            runner,
+            need,
+            stage: Stage::Planned,
+            planned: now,
+            started: None,
+            settled: None,
+            stop_at: None,
+            ticket,
+            percent: 0,
+            moved: now,
+            load: 0,
+            pace: 100,
+            paced: Time::MIN,
+        });
+        state.runs.push(key);
+        self.occupy(key, runner, need, now);
+        self.mark_dirty(task.work);
+        self.effects.push(Effect::Start(key));
+        let run = self.runs[key].clone();
+        self.note_run(Kind::Placed, "room", &run, now);
+    }
+
+    /// Adds a run to what its runner holds.
+    pub(super) fn occupy(&mut self, run: run::Key, runner: runner::Key, need: Resource, now: Time) {
+        let runner = &mut self.runners[runner];
+        runner.used += need;
+        runner.runs.push(run);
+        runner.busy_at = now;
+    }
+
+    /// Orders the start of a planned run.
+    pub(super) fn order_start(&mut self, key: run::Key, now: Time) {
+        let Some(run) = self.runs.get(key) else {
+            return;
+        };
+        if run.stage != Stage::Planned {
+            return;
+        }
+        let Some(work) = self.works.get(run.task.work) else {
+            return;
+        };
+        let specification = Arc::clone(&work.job.specification);
+        let task = work.task(run.task.occurrence, run.task.step, run.task.index);
+        let checkpoint = task.and_then(|task| task.checkpoint.clone());
+        let (name, attempt, ticket) = (run.name, run.attempt, run.ticket.clone());
+        let place = run.runner;
+        let rules = self.rules;
+        let Some(runner) = self.runners.get_mut(place) else {
+            return;
+        };
+        // A runner that has just been renewed keeps that lease; another one gets a short lease until its first look.
+        let renewed = runner.expiry > now + rules.first_lease;
+        let span = match renewed && runner.misses == 0 {
+            true => rules.lease.saturating_sub(rules.look_wait),
+            false => rules.first_lease,
+        };
+        let until = runner.renew(span, &rules, now);
+        let (Some(until), Some(target)) = (until, self.target(place)) else {
+            self.abandon(key, now);
+            return;
+        };
+        if let Some(run) = self.runs.get_mut(key) {
+            run.stage = Stage::Ordered;
+        }
+        self.orders.push(Order::Start(Start {
+            target,
+            run: key,
+            task: name,
+            attempt,
+            specification,
+            until,
+            checkpoint,
+            ticket,
+        }));
+    }
+
+    /// Returns the address of a runner for orders.
+    pub(super) fn target(&self, key: runner::Key) -> Option<Target> {
+        let runner = self.runners.get(key)?;
+        Some(Target {
+            runner: key,
+            id: Arc::clone(&runner.id),
+            address: runner.address?,
+            fence: self.epoch,
+        })
+    }
+
+    /// Stops a run, or drops it if it was not ordered yet.
+    pub(super) fn stop(&mut self, key: run::Key, reason: &'static str, now: Time) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        match run.stage {
+            Stage::Planned => {
+                self.release(key);
+                return;
+            }
+            Stage::Stopping => return,
+            _ => {}
+        }
+        run.stage = Stage::Stopping;
+        run.settled = None;
+        let copy = run.clone();
+        self.note_run(Kind::Stopping, reason, &copy, now);
+        self.order_stop(key, now);
+    }
+
+    /// Orders a run to stop, once more if need be.
+    pub(super) fn order_stop(&mut self, key: run::Key, now: Time) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.stop_at = Some(now);
+        let (place, task, attempt) = (run.runner, run.name, run.attempt);
+        if let Some(target) = self.target(place) {
+            self.orders.push(Order::Stop(Stop {
+                target,
+                run: Some(key),
+                task,
+                attempt,
+            }));
+        }
+    }
+
+    /// Takes a run away from its task and its runner, and lets the task start again. Returns the run.
+    pub(super) fn release(&mut self, key: run::Key) -> Option<Run> {
+        let run = self.detach(key)?;
+        self.make_ready(run.task);
+        Some(run)
+    }
+
+    /// Takes a run away from its task and its runner. Returns it.
+    pub(super) fn detach(&mut self, key: run::Key) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        if let Some(runner) = self.runners.get_mut(run.runner) {
+            runner.used -= run.need;
+            runner.runs.retain(|&other| other != key);
+        }
+        let TaskKey {
+            work,
+            occurrence,
+            step,
+            index,
+        } = run.task;
+        if let Some(found) = self.works.get_mut(work)
+            && let Some(task) = found.task_mut(occurrence, step, index)
+        {
+            task.runs.retain(|&other| other != key);
+        }
+        self.mark_dirty(work);
+        Some(run)
+    }
+
+    /// Releases a run that has not begun to work and never will.
+    pub(super) fn abandon(&mut self, key: run::Key, now: Time) {
+        if let Some(run) = self.release(key) {
+            self.break_gang(&run, now);
+        }
+    }
+
+    /// Releases a run that can't exist any more, although its end was not seen.
+    pub(super) fn lose(&mut self, key: run::Key, reason: &'static str, now: Time) {
+        if let Some(run) = self.release(key)
+            && run.stage != Stage::Planned
+        {
+            self.note_run(Kind::Lost, reason, &run, now);
+            self.break_gang(&run, now);
+        }
+    }
+}
+
+/// Returns the name of a task.
+pub(super) fn name(job: sassafrascrank_job::Id, task: TaskKey) -> id::Task {
+    id::Task {
+        job,
+        position: id::Position {
+            occurrence: task.occurrence,
+            step: task.step,
+            index: task.index,
+        },
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/lease/mod.rs
@@ -0,0 +1,5 @@
+//! Leases on the clock of a runner.
+
+mod clock;
+
+pub use clock::Clock;
--- /dev/null
+++ b/crates/schedule/src/order/mod.rs
@@ -0,0 +1,13 @@
+//! What the engine wants done, and what came of it.
+
+mod order;
+pub mod report;
+
+pub use order::{
+    Look,
+    Order,
+    Pace,
+    Start,
+    Stop,
+    Target, //
+};
--- /dev/null
+++ b/crates/schedule/src/queue/mod.rs
@@ -0,0 +1,21 @@
+//! Queues, pools, and the order of tasks that wait for a runner.
+
+mod pool;
+mod queue;
+mod rank;
+
+pub use pool::Pool;
+pub use queue::Queue;
+pub use rank::Rank;
+
+pub mod key {
+    //! Keys of queues and pools.
+
+    slotmap::new_key_type! {
+        /// Identifies a queue within one process.
+        pub struct Queue;
+
+        /// Identifies a pool within one process.
+        pub struct Pool;
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/work/run.rs
@@ -0,0 +1,67 @@
+//! One attempt of a task at one runner.
+
+use super::TaskKey;
+use crate::runner;
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::{
+    Resource,
+    id, //
+};
+use std::sync::Arc;
+
+slotmap::new_key_type! {
+    /// Identifies a run within one process.
+    pub struct Key;
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// The log does not hold it yet; nothing was ordered.
+    Planned,
+    /// The start was ordered.
+    Ordered,
+    /// The log of an earlier leader names it; it may or may not run.
+    Inherited,
+    /// It runs.
+    Running,
+    /// It is being stopped, or made impossible.
+    Stopping,
+}
+
+/// One attempt of a task at one runner.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The task.
+    pub task: TaskKey,
+    /// Its name.
+    pub name: id::Task,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// The runner.
+    pub runner: runner::Key,
+    /// What it takes of the runner's capacity.
+    pub need: Resource,
+    /// How far it is.
+    pub stage: Stage,
+    /// When it was planned.
+    pub planned: Time,
+    /// When the start was confirmed.
+    pub started: Option<Time>,
+    /// When the latest order about it was answered; a look sent later shows it if it exists.
+    pub settled: Option<Time>,
+    /// When it was last ordered to stop.
+    pub stop_at: Option<Time>,
+    /// Approval by the advice service.
+    pub ticket: Option<Arc<str>>,
+    /// Progress or share at which it works, in percent, as last seen.
+    pub percent: u8,
+    /// When the percentage last changed.
+    pub moved: Time,
+    /// Tail of the response times in milliseconds, or used processor time, as last seen.
+    pub load: u64,
+    /// Share in percent that was last ordered.
+    pub pace: u8,
+    /// When the share was last ordered.
+    pub paced: Time,
+}
--- /dev/null
+++ b/crates/trace/src/event.rs
@@ -0,0 +1,112 @@
+//! One thing that happened, with the inputs that decided it.
+
+use core::fmt::Write;
+use sassafrascrank_base::prelude::*;
+use std::sync::Arc;
+
+/// Fields of one event.
+const FIELD_LIMIT: usize = 7;
+
+/// Value of a field.
+#[derive(Clone, Debug)]
+pub enum Value {
+    /// A fixed word.
+    Word(&'static str),
+    /// A name or a message.
+    Text(Arc<str>),
+    /// An identity, written as 16 hexadecimal digits.
+    Id(u64),
+    /// A number.
+    Count(u64),
+    /// A duration, written in milliseconds.
+    Span(Duration),
+}
+
+/// One thing that happened, with the inputs that decided it.
+#[derive(Clone, Debug)]
+pub struct Event {
+    /// When.
+    pub at: Time,
+    /// What happened.
+    pub name: &'static str,
+    /// It is only counted.
+    pub quiet: bool,
+    fields: [Option<(&'static str, Value)>; FIELD_LIMIT],
+}
+
+impl Event {
+    /// Makes an event without fields.
+    pub fn new(name: &'static str, at: Time) -> Self {
+        Self {
+            at,
+            name,
+            quiet: false,
+            fields: Default::default(),
+        }
+    }
+
+    /// Adds a field; one more than fits is left out.
+    pub fn with(mut self, key: &'static str, value: Value) -> Self {
+        if let Some(free) = self.fields.iter_mut().find(|field| field.is_none()) {
+            *free = Some((key, value));
+        }
+        self
+    }
+
+    /// Makes it an event that is only counted.
+    pub fn quiet(mut self) -> Self {
+        self.quiet = true;
+        self
+    }
+
+    /// Returns the first duration among the fields.
+    pub fn span(&self) -> Option<Duration> {
+        self.fields
+            .iter()
+            .flatten()
+            .find_map(|(_, value)| match value {
+                Value::Span(span) => Some(*span),
+                _ => None,
+            })
+    }
+
+    /// Returns the first fixed word among the fields.
+    pub fn word(&self) -> Option<&'static str> {
+        self.fields
+            .iter()
+            .flatten()
+            .find_map(|(_, value)| match value {
+                Value::Word(word) => Some(*word),
+                _ => None,
+            })
+    }
+
+    /// Returns the event as a line of JSON, with the name of its process.
+    pub fn line(&self, process: &str) -> String {
+        let mut line = String::with_capacity(160);
+        // Writing into a string does not fail.
+        let _ = write!(
+            line,
+            "{{\"ms\":{},\"process\":{},\"event\":\"{}\"",
+            self.at.as_millis(),
+            quote(process),
+            self.name
+        );
+        for (key, value) in self.fields.iter().flatten() {
+            let _ = write!(line, ",\"{key}\":");
+            let _ = match value {
+                Value::Word(word) => write!(line, "\"{word}\""),
+                Value::Text(text) => write!(line, "{}", quote(text)),
+                Value::Id(id) => write!(line, "\"{id:016x}\""),
+                Value::Count(count) => write!(line, "{count}"),
+                Value::Span(span) => write!(line, "{:.1}", span.as_secs_f64() * 1_000.0),
+            };
+        }
+        line.push('}');
+        line
+    }
+}
+
+fn quote(text: &str) -> String {
+    serde_json::Value::from(text).to_string()
+}
--- /dev/null
+++ b/crates/trace/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Counters and histograms.
+
+use crate::Event;
+use opentelemetry::{
+    KeyValue,
+    metrics::{
+        Counter,
+        Histogram,
+        MeterProvider, //
+    },
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the buckets in seconds: from one call on the local network to the longest outage of a log.
+const BOUNDARIES: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// The metrics can't be set up or encoded.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum Error {
+    /// The exporter could not be registered.
+    #[error("metrics can't be exported ({0}); report this as a fault of sassafrascrank")]
+    Export(#[from] opentelemetry_sdk::error::OTelSdkError),
+    /// The metrics could not be encoded.
+    #[error("metrics can't be encoded ({0}); report this as a fault of sassafrascrank")]
+    Encode(#[from] prometheus::Error),
+}
+
+/// Counters and histograms by the name of the event.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: prometheus::Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    events: Counter<u64>,
+    durations: Histogram<f64>,
+    dropped: Counter<u64>,
+    suppressed: Counter<u64>,
+}
+
+impl Metrics {
+    /// Registers all instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be registered.
+    pub fn new() -> Result<Self, Error> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("sassafrascrank")
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("sassafrascrank");
+        let counter = |name, description| {
+            meter
+                .u64_counter(name)
+                .with_description(description)
+                .build()
+        };
+        let durations = meter
+            .f64_histogram("event.duration")
+            .with_unit("s")
+            .with_description("Time that an event took, or age of the input that decided it")
+            .with_boundaries(BOUNDARIES.to_vec())
+            .build();
+        Ok(Self {
+            events: counter("events", "Events by name and reason"),
+            dropped: counter("events.dropped", "Events dropped because a ring was full"),
+            suppressed: counter("lines.suppressed", "Log lines left out above the rate"),
+            durations,
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an event. Names and reasons are fixed words, which bounds the number of series.
+    pub fn count(&self, event: &Event) {
+        let name = KeyValue::new("event", event.name);
+        let reason = KeyValue::new("reason", event.word().unwrap_or("none"));
+        self.events.add(1, &[name.clone(), reason]);
+        if let Some(span) = event.span() {
+            self.durations.record(span.as_secs_f64(), &[name]);
+        }
+    }
+
+    /// Counts events that a thread has dropped.
+    pub fn count_dropped(&self, thread: &'static str, count: u64) {
+        self.dropped.add(count, &[KeyValue::new("thread", thread)]);
+    }
+
+    /// Counts a line that was left out.
+    pub fn suppress(&self) {
+        self.suppressed.add(1, &[]);
+    }
+
+    /// Encodes all metrics in the Prometheus text format, version 0.0.4.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics can't be encoded.
+    pub fn scrape(&self) -> Result<String, Error> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- /dev/null
+++ b/crates/trace/src/thread.rs
@@ -0,0 +1,193 @@
+//! The thread that writes lines and serves metrics.
+
+use crate::{
+    Event,
+    Limiter,
+    Metrics,
+    Source,
+    Value, //
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Response,
+    StatusCode,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_ring::Signal;
+use spdlog::{
+    Level,
+    Logger, //
+};
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+};
+use tokio::{
+    net::TcpListener,
+    task::spawn_local,
+    time::sleep, //
+};
+
+/// Time between two batches, so that producers don't pay for a wake-up at each event.
+const BATCH_INTERVAL: Duration = Duration::from_millis(50);
+/// Log lines a second. At 150 bytes each, a day of it fills about 5 GB.
+const LINE_RATE: f64 = 400.0;
+/// Time for the head of a request for metrics.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the thread needs.
+pub struct Setup<C> {
+    /// Name of the process in each line.
+    pub process: Arc<str>,
+    /// Rings of events, one for each recording thread.
+    pub sources: Vec<Source>,
+    /// Signal of all these rings.
+    pub signal: Signal,
+    /// Tells the present time.
+    pub clock: C,
+    /// Where lines go.
+    pub logger: Arc<Logger>,
+    /// Listener of the metrics endpoint, if there is one.
+    pub listener: Option<std::net::TcpListener>,
+    /// Set when the process ends; what is recorded before is still written.
+    pub stop: Arc<AtomicBool>,
+}
+
+/// Runs until the process ends. It needs a local task set.
+///
+/// # Errors
+///
+/// Fails if the metrics can't be set up.
+pub async fn run<C: Fn() -> Time>(setup: Setup<C>) -> Result<(), crate::Error> {
+    let metrics = Rc::new(Metrics::new()?);
+    if let Some(listener) = setup
+        .listener
+        .and_then(|listener| TcpListener::from_std(listener).ok())
+    {
+        spawn_local(serve(listener, Rc::clone(&metrics)));
+    }
+    let mut writer = Writer {
+        process: setup.process,
+        limiter: Limiter::new(LINE_RATE, (setup.clock)()),
+        logger: setup.logger,
+        metrics,
+        dropped: HashMap::new(),
+    };
+    let mut sources = setup.sources;
+    loop {
+        setup
+            .signal
+            .wait(|| setup.stop.load(Ordering::SeqCst) || has_events(&sources))
+            .await;
+        let stopping = setup.stop.load(Ordering::SeqCst);
+        let now = (setup.clock)();
+        for source in &mut sources {
+            writer.drain(source, now);
+        }
+        writer.logger.flush();
+        if stopping {
+            return Ok(());
+        }
+        sleep(BATCH_INTERVAL).await;
+    }
+}
+
+fn has_events(sources: &[Source]) -> bool {
+    sources.iter().any(|source| !source.receiver.is_empty())
+}
+
+struct Writer {
+    process: Arc<str>,
+    limiter: Limiter,
+    logger: Arc<Logger>,
+    metrics: Rc<Metrics>,
+    /// Dropped events by thread, as counted so far.
+    dropped: HashMap<&'static str, u64>,
+}
+
+impl Writer {
+    fn drain(&mut self, source: &mut Source, now: Time) {
+        while let Some(event) = source.receiver.try_recv() {
+            self.metrics.count(&event);
+            if !event.quiet {
+                self.write(&event, now);
+            }
+        }
+        let total = source.dropped.load(Ordering::Relaxed);
+        let known = self.dropped.entry(source.thread).or_default();
+        let new = total - *known;
+        if new > 0 {
+            *known = total;
+            self.metrics.count_dropped(source.thread, new);
+            let event = Event::new("events-dropped", now)
+                .with("thread", Value::Word(source.thread))
+                .with("count", Value::Count(new));
+            self.write(&event, now);
+        }
+    }
+
+    fn write(&mut self, event: &Event, now: Time) {
+        let Some(suppressed) = self.limiter.admit(now) else {
+            self.metrics.suppress();
+            return;
+        };
+        if suppressed > 0 {
+            let event = Event::new("lines-suppressed", now).with("count", Value::Count(suppressed));
+            self.log(&event);
+        }
+        self.log(event);
+    }
+
+    fn log(&self, event: &Event) {
+        let line = event.line(&self.process);
+        spdlog::log!(logger: self.logger, Level::Info, "{line}");
+    }
+}
+
+/// Serves the metrics on every path.
+async fn serve(listener: TcpListener, metrics: Rc<Metrics>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(BATCH_INTERVAL).await;
+            continue;
+        };
+        let metrics = Rc::clone(&metrics);
+        spawn_local(async move {
+            let service = service_fn(move |_| {
+                let answer = answer(&metrics);
+                async move { Ok::<_, std::convert::Infallible>(answer) }
+            });
+            // An error here concerns only the connection of one reader of metrics.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn answer(metrics: &Metrics) -> Response<Full<Bytes>> {
+    match metrics.scrape() {
+        Ok(text) => Response::new(Full::new(Bytes::from(text))),
+        Err(error) => {
+            let mut response = Response::new(Full::new(Bytes::from(error.to_string())));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
