feat(schedule): move hosts between pools by demand

Cause: each queue's turn asks more than its pool holds, while other pools and the standby pool idle. Change: hosts follow running, waiting and recently submitted work, and the learned sequence of turns; idle hosts are switched off.

--- a/crates/control/src/store/store.rs
+++ b/crates/control/src/store/store.rs
@@ -42,8 +42,9 @@
 /// How long a read of the jobs waits for a record. A follower that reads nothing for longer than the silence of a
 /// leader could not tell a silent leader from a silent log.
 const JOBS_WAIT: Duration = Duration::from_millis(400);
-/// How long a read of the operators' records waits.
-const OPERATOR_WAIT: Duration = Duration::from_millis(10_000);
+/// How long a read of the operators' records waits. A read on a connection that a partition has silenced fails only
+/// after this time and the slack of the call; a configuration has to be in force 2 s after it was published.
+const OPERATOR_WAIT: Duration = Duration::from_millis(900);
 /// How long a read of the service list waits.
 const RUNNERS_WAIT: Duration = Duration::from_millis(1_000);
 /// Shortest time between two reads of the service list, which changes at each heartbeat of a runner.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,7 +11,10 @@
     process::Options, //
 };
 use std::{
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     process::{
         ExitCode,
         abort,
@@ -41,6 +44,7 @@
 
 Signals:
   SIGTERM, SIGINT  shut down gracefully; a second one ends the process at once
+  SIGHUP           with --jobs, check the settings file again and log what it says; addresses change with a restart
 
 Exit codes: 0 graceful end, 1 failure, 2 wrong command line or settings, 3 ended by a second signal
 ";
@@ -133,7 +137,7 @@
         Command::CheckJobs(path) => {
             load_jobs(path)?;
         }
-        Command::RunJobs(path) => serve_jobs(load_jobs(path)?)?,
+        Command::RunJobs(path) => serve_jobs(&path)?,
     }
     Ok(())
 }
@@ -147,25 +151,46 @@
 }
 
 /// Accepts jobs until a signal asks for the end.
-fn serve_jobs(settings: sassafrascrank_adapter::Settings) -> Result<(), Report<Error>> {
+fn serve_jobs(path: &Path) -> Result<(), Report<Error>> {
+    let settings = load_jobs(path.to_owned())?;
     end_on_panic();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let runtime = runtime.change_context(Error::Start)?;
-    let mut signals = {
+    let (mut signals, mut reload) = {
         let _context = runtime.enter();
-        Signals::new().change_context(Error::Start)?
+        let reload = signal(SignalKind::hangup()).change_context(Error::Start)?;
+        (Signals::new().change_context(Error::Start)?, reload)
     };
     let logger = line_logger().change_context(Error::Start)?;
     let process = settings.process();
     let platform = sassafrascrank_adapter::Platform::new(settings);
+    let lines = Arc::clone(&logger);
     let process = sassafrascrank_control::Process::start(process, platform, logger);
     let process = process.change_context(Error::Start)?;
-    runtime.block_on(signals.next());
+    runtime.block_on(async {
+        loop {
+            tokio::select! {
+                () = signals.next() => return,
+                _ = reload.recv() => log_reload(&lines, path),
+            }
+        }
+    });
     process.shut_down().change_context(Error::Shutdown)
 }
 
+/// Logs whether the settings file can be used. Without this, the signal would end the process.
+fn log_reload(logger: &spdlog::Logger, path: &Path) {
+    match load_jobs(path.to_owned()) {
+        Ok(_) => spdlog::info!(logger: logger, "{{\"event\":\"reload\",\"result\":\"valid\"}}"),
+        Err(report) => {
+            let reason = serde_json::Value::from(format!("{report:?}"));
+            spdlog::warn!(logger: logger, "{{\"event\":\"reload\",\"result\":\"rejected\",\"detail\":{reason}}}");
+        }
+    }
+}
+
 /// Returns a logger that writes each message as a line of its own to the standard output.
 fn line_logger() -> spdlog::Result<Arc<spdlog::Logger>> {
     let sink = spdlog::sink::StdStreamSink::builder()
--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -35,6 +35,7 @@
         if self.work_index.contains_key(&job.id) {
             return;
         }
+        self.expect_work(&job, now);
         let key = self.insert(job);
         self.open_due(key, now, now);
     }
--- /dev/null
+++ b/crates/schedule/src/engine/balance.rs
@@ -0,0 +1,205 @@
+//! How many hosts each pool gets.
+
+use super::Engine;
+use crate::{
+    fleet::{
+        demand::Amount,
+        host::{
+            self,
+            State,
+            Task, //
+        },
+    },
+    queue::key,
+    runner::Runner,
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::{
+    Job,
+    Resource, //
+};
+
+/// Time between two rounds.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Hosts are not filled to the last core, since tasks don't divide evenly.
+const FILL: f64 = 0.88;
+/// Time without work after which a host goes to another pool that needs it.
+const IDLE_LEND: Duration = Duration::from_millis(300);
+/// Time without work after which a host is switched off. A move costs as much as a second of an idle host.
+const IDLE_OFF: Duration = Duration::from_millis(1_500);
+/// Hosts that stay in a pool although it has no work, for the first tasks of a turn.
+const RESERVE: usize = 1;
+/// Tasks that wait and are counted at most; beyond it the pool needs all hosts that there are.
+const READY_LIMIT: usize = 2_000;
+
+/// What one pool has and needs.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    pool: key::Pool,
+    /// Hosts that work for it or are on their way.
+    have: usize,
+    /// Hosts that it needs.
+    want: usize,
+}
+
+impl Engine {
+    /// Notes the work of a job that was just submitted.
+    pub(super) fn expect_work(&mut self, job: &Job, now: Time) {
+        let queue = self.intern_queue(&job.queue, &job.terms);
+        let pool = self.queues[queue].pool;
+        let mut amount = Amount::default();
+        for step in job.steps.iter().filter(|step| !step.lasting) {
+            let time = step.estimate.as_millis() as f64 * f64::from(step.count);
+            amount.cpu += step.counted().cpu as f64 * time;
+            amount.memory += step.need.memory as f64 * time;
+        }
+        self.fleet.demand.submit(pool, amount, now);
+    }
+
+    /// Moves hosts to the pools that need them, and switches off those that nobody needs.
+    pub(super) fn balance(&mut self, now: Time) {
+        if now < self.fleet.balanced + INTERVAL || self.fleet.hosts.is_empty() {
+            return;
+        }
+        self.fleet.balanced = now;
+        let Some(standby) = self.standby_pool() else {
+            return;
+        };
+        let pools: Vec<key::Pool> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| !pool.standby)
+            .map(|(key, _)| key)
+            .collect();
+        let mut needs: Vec<Need> = pools.into_iter().map(|pool| self.need(pool, now)).collect();
+        needs.sort_by_key(|need| need.have as i64 - need.want as i64);
+        for index in 0..needs.len() {
+            while needs[index].have < needs[index].want {
+                let Some(host) = self.spare_host(&needs, standby, needs[index].pool, now) else {
+                    break;
+                };
+                let from = self.fleet.hosts[host].pool;
+                if let Some(giver) = needs.iter_mut().find(|need| need.pool == from) {
+                    giver.have -= 1;
+                }
+                needs[index].have += 1;
+                self.move_host(host, needs[index].pool, now);
+            }
+        }
+        for need in needs {
+            self.switch_off(need, standby, now);
+        }
+    }
+
+    /// Returns a pool whose hosts are switched off.
+    fn standby_pool(&self) -> Option<key::Pool> {
+        let mut pools = self.pools.iter();
+        pools.find(|(_, pool)| pool.standby).map(|(key, _)| key)
+    }
+
+    /// Returns what a pool has and needs.
+    fn need(&mut self, key: key::Pool, now: Time) -> Need {
+        let pool = &self.pools[key];
+        let mut load = Resource::default();
+        let mut size = Resource::default();
+        let mut usable = 0;
+        let mut occupied = 0;
+        for &runner in &pool.runners {
+            let runner = &self.runners[runner];
+            load += runner.used;
+            size.cpu = size.cpu.max(runner.capacity.cpu);
+            size.memory = size.memory.max(runner.capacity.memory);
+            usable += usize::from(is_usable(runner));
+            occupied += usize::from(is_usable(runner) && !runner.runs.is_empty());
+        }
+        for rank in pool.ready.iter().take(READY_LIMIT) {
+            if let Some(shape) = self.shape(rank.task) {
+                load += shape.counted();
+            }
+        }
+        let incoming = self.fleet.hosts.values().filter(|host| {
+            let moving = host.task == Some(Task::Move(key));
+            let joining = host.pool == key && host.listed.state != State::Up;
+            let unseen = host.pool == key
+                && host.task.is_none()
+                && host.listed.state == State::Up
+                && self.runner_of(host).is_none();
+            moving || (joining && !matches!(host.task, Some(Task::Move(_)))) || unseen
+        });
+        let have = usable + incoming.count();
+        if size.cpu == 0 {
+            let sizes = self.fleet.hosts.values().map(|host| host.listed.capacity);
+            size = sizes.max_by_key(|size| size.cpu).unwrap_or_default();
+        }
+        let hosts = |cpu: f64, memory: f64| {
+            let cpu = cpu / (size.cpu.max(1) as f64 * FILL);
+            let memory = memory / (size.memory.max(1) as f64 * FILL);
+            cpu.max(memory)
+        };
+        let rate = self.fleet.demand.rate(key);
+        let present = hosts(load.cpu as f64, load.memory as f64);
+        let soon = hosts(rate.cpu, rate.memory);
+        self.fleet.demand.observe(key, present.max(soon), now);
+        let expected = self.fleet.demand.expected(key, now).unwrap_or_default();
+        let want = present.max(soon).max(expected).ceil() as usize;
+        Need {
+            pool: key,
+            have,
+            want: want.max(occupied.min(have)) + RESERVE,
+        }
+    }
+
+    /// Returns a host that another pool can do without. Hosts that are paid for come before those that are not.
+    fn spare_host(
+        &self,
+        needs: &[Need],
+        standby: key::Pool,
+        pool: key::Pool,
+        now: Time,
+    ) -> Option<host::Key> {
+        let surplus = |from: key::Pool| {
+            let need = needs.iter().find(|need| need.pool == from);
+            need.is_some_and(|need| need.have > need.want)
+        };
+        let idle = |since: Option<Time>| since.is_some_and(|since| now >= since + IDLE_LEND);
+        let mut best: Option<(bool, host::Key)> = None;
+        for (key, host) in &self.fleet.hosts {
+            let off = host.pool == standby;
+            let free = off || (surplus(host.pool) && idle(host.idle));
+            if host.pool == pool || !free || !self.is_touchable(key, now) {
+                continue;
+            }
+            if best.is_none_or(|(worst, _)| worst && !off) {
+                best = Some((off, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Switches off hosts of a pool that have had no work for a while.
+    fn switch_off(&mut self, mut need: Need, standby: key::Pool, now: Time) {
+        let idle = |since: Option<Time>| since.is_some_and(|since| now >= since + IDLE_OFF);
+        let hosts = self.fleet.hosts.iter();
+        let hosts = hosts.filter(|(_, host)| host.pool == need.pool && idle(host.idle));
+        let keys: Vec<host::Key> = hosts.map(|(key, _)| key).collect();
+        for key in keys {
+            if need.have <= need.want {
+                return;
+            }
+            if self.is_touchable(key, now) && self.runner_of(&self.fleet.hosts[key]).is_some() {
+                need.have -= 1;
+                self.move_host(key, standby, now);
+            }
+        }
+    }
+
+    fn move_host(&mut self, key: host::Key, pool: key::Pool, now: Time) {
+        self.close_host(key, Task::Move(pool), now);
+        self.order_host(key, now);
+    }
+}
+
+/// Tells whether a runner works for its pool, or will as soon as it has answered.
+fn is_usable(runner: &Runner) -> bool {
+    runner.listed && runner.leaves.is_none() && !runner.closing && runner.misses == 0
+}
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -146,6 +146,7 @@
             self.advance_wave(number, now);
         }
         self.repeat_host_orders(now);
+        self.balance(now);
     }
 
     /// Returns the runner of a host in its present pool.
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod advice;
+mod balance;
 mod end;
 mod engine;
 mod evict;
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -28,6 +28,8 @@
     unsuited: u8,
     /// Jobs that failed there in a row.
     failures: u32,
+    /// It has no task that lasts, so its host could be given away.
+    movable: bool,
     /// Tasks of the same step in the same rack, for tasks that last.
     together: usize,
     /// Share of the capacity that is free; full runners come first, so that others become empty.
@@ -142,6 +144,7 @@
         Score {
             unsuited: u8::from(far) + u8::from(disturbs),
             failures: runner.failures,
+            movable: !self.has_lasting(key),
             together,
             free: 1.0 - runner.capacity.share(runner.used),
         }
--- /dev/null
+++ b/crates/schedule/src/fleet/demand.rs
@@ -0,0 +1,138 @@
+//! How much work a pool is asked to do, and when the next pool's turn comes.
+
+use crate::queue::key;
+use sassafrascrank_base::prelude::*;
+use std::collections::{
+    HashMap,
+    VecDeque, //
+};
+
+/// Time over which the rate of submitted work is taken. A shorter one would follow single jobs.
+const WINDOW: Duration = Duration::from_millis(800);
+/// Weight of the past in the long-run mean, for each second.
+const MEMORY: f64 = 0.97;
+/// Multiple of the long-run mean above which a pool has its turn.
+const HIGH: f64 = 1.8;
+/// Share of the long-run mean below which its turn is over.
+const LOW: f64 = 0.7;
+/// Time before the expected beginning of a turn at which its hosts are ordered: a move takes 1.6 s, and a beginning is
+/// noticed about 0.5 s late.
+const LEAD: Duration = Duration::from_millis(2_300);
+/// Time after the expected beginning for which its hosts are kept.
+const GRACE: Duration = Duration::from_millis(1_200);
+/// Longest time between the beginnings of two turns that are seen as a sequence.
+const SEQUENCE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Work in thousandths of a core and in megabytes, both times milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Amount {
+    /// Thousandths of a core times milliseconds.
+    pub cpu: f64,
+    /// Megabytes times milliseconds.
+    pub memory: f64,
+}
+
+/// What one pool is asked to do.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    recent: VecDeque<(Time, Amount)>,
+    sum: Amount,
+    mean: f64,
+    updated: Option<Time>,
+    high: bool,
+    /// Hosts that the present turn has needed at most.
+    peak: f64,
+    /// Hosts that earlier turns needed, if there was one.
+    usual: Option<f64>,
+    /// Beginning of the latest turn.
+    began: Option<Time>,
+    /// The pool whose turn followed, and how long after the beginning of this one.
+    next: Option<(key::Pool, Duration)>,
+}
+
+/// What all pools are asked to do.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    pools: HashMap<key::Pool, Pool>,
+    /// The pool whose turn began last.
+    turn: Option<(key::Pool, Time)>,
+}
+
+impl Demand {
+    /// Takes work that was submitted for a pool.
+    pub fn submit(&mut self, pool: key::Pool, amount: Amount, now: Time) {
+        let pool = self.pools.entry(pool).or_default();
+        pool.recent.push_back((now, amount));
+        pool.sum.cpu += amount.cpu;
+        pool.sum.memory += amount.memory;
+    }
+
+    /// Returns what would run at once in a pool if work went on to be submitted as of late: thousandths of a core and
+    /// megabytes.
+    pub fn rate(&self, pool: key::Pool) -> Amount {
+        let window = WINDOW.as_millis() as f64;
+        self.pools
+            .get(&pool)
+            .map_or_else(Amount::default, |pool| Amount {
+                cpu: pool.sum.cpu.max(0.0) / window,
+                memory: pool.sum.memory.max(0.0) / window,
+            })
+    }
+
+    /// Takes how many hosts a pool needs now, and notices the beginning and the end of its turn.
+    pub fn observe(&mut self, key: key::Pool, hosts: f64, now: Time) {
+        let pool = self.pools.entry(key).or_default();
+        while let Some(&(at, amount)) = pool.recent.front()
+            && at + WINDOW < now
+        {
+            pool.recent.pop_front();
+            pool.sum.cpu -= amount.cpu;
+            pool.sum.memory -= amount.memory;
+        }
+        if pool.recent.is_empty() {
+            pool.sum = Amount::default();
+        }
+        let rate = pool.sum.cpu / WINDOW.as_millis() as f64;
+        let spent = pool.updated.map_or(0.0, |at| now.since(at).as_secs_f64());
+        pool.updated = Some(now);
+        let keep = MEMORY.powf(spent);
+        pool.mean = pool.mean * keep + rate * (1.0 - keep);
+        if pool.high {
+            pool.peak = pool.peak.max(hosts);
+            if rate < pool.mean * LOW {
+                pool.high = false;
+                let peak = pool.peak;
+                pool.usual = Some(pool.usual.map_or(peak, |usual| (usual + peak) / 2.0));
+            }
+        } else if pool.mean > 0.0 && rate > pool.mean * HIGH && pool.recent.len() > 2 {
+            pool.high = true;
+            pool.peak = hosts;
+            pool.began = Some(now);
+            self.begin(key, now);
+        }
+    }
+
+    /// Notes that the turn of a pool has begun, as the one after the latest other turn.
+    fn begin(&mut self, key: key::Pool, now: Time) {
+        if let Some((before, at)) = self.turn
+            && before != key
+            && now.since(at) < SEQUENCE_LIMIT
+            && let Some(pool) = self.pools.get_mut(&before)
+        {
+            pool.next = Some((key, now.since(at)));
+        }
+        self.turn = Some((key, now));
+    }
+
+    /// Returns the hosts that a pool will need although it does not yet, because its turn comes soon.
+    pub fn expected(&self, key: key::Pool, now: Time) -> Option<f64> {
+        let (before, at) = self.turn?;
+        let (next, after) = self.pools.get(&before)?.next?;
+        let begins = at + after;
+        let near = now + LEAD >= begins && now <= begins + GRACE;
+        if next != key || !near {
+            return None;
+        }
+        self.pools.get(&key)?.usual
+    }
+}
--- a/crates/schedule/src/fleet/fleet.rs
+++ b/crates/schedule/src/fleet/fleet.rs
@@ -1,6 +1,7 @@
 //! What the leader knows of the hosts.
 
 use super::{
+    Demand,
     Host,
     Wave,
     host, //
@@ -35,6 +36,8 @@
     pub(crate) ask_at: Time,
     /// When the hosts were last looked at for moves.
     pub(crate) balanced: Time,
+    /// What the pools are asked to do.
+    pub(crate) demand: Demand,
 }
 
 impl Fleet {
@@ -49,6 +52,7 @@
             asked: None,
             ask_at: Time::MIN,
             balanced: Time::MIN,
+            demand: Demand::default(),
         }
     }
 
