fix(schedule): open no step of a cancelled job, and end planned stops in time

Change: steps open only for jobs that have not ended; the thread of callers ends 1.5 s after it was asked to; the leader's record says since when its holder leads; claims wait from the first configuration on.

--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -15,10 +15,11 @@
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
-    Book,
-    Id,
-    Record,
-    book::Change, //
+    Book, Id, Record,
+    book::{
+        Change,
+        State, //
+    },
 };
 use sassafrascrank_lead::{
     Rules,
@@ -38,11 +39,8 @@
     Value, //
 };
 use std::{
-    collections::{
-        BTreeMap,
-        HashMap, //
-    },
-    sync::Arc,
+    collections::BTreeMap,
+    sync::Arc, //
 };
 
 /// Age of the last read of the jobs up to which the entry takes requests.
@@ -78,7 +76,7 @@
     pub(super) config: Option<Arc<Config>>,
     pub(super) waves: BTreeMap<u64, Wave>,
     /// The service list, while it is read.
-    pub(super) runners: HashMap<Arc<str>, Listed>,
+    pub(super) runners: BTreeMap<Arc<str>, Listed>,
     /// The whole service list was read.
     pub(super) runners_read: bool,
     pub(super) calls: Calls,
@@ -121,7 +119,7 @@
             rules,
             config: None,
             waves: BTreeMap::new(),
-            runners: HashMap::new(),
+            runners: BTreeMap::new(),
             runners_read: false,
             calls: Calls::default(),
             jobs_read: false,
@@ -142,6 +140,11 @@
         core::mem::take(&mut self.out)
     }
 
+    /// Returns the state of a job as this entry knows it.
+    pub fn state(&self, id: Id) -> Option<State> {
+        self.book.state(id)
+    }
+
     /// Tells whether this entry leads.
     pub fn is_leader(&self) -> bool {
         self.engine.is_some()
@@ -278,6 +281,10 @@
                     .with("version", Value::Count(config.version))
                     .with("queues", Value::Count(config.queues.len() as u64));
                 self.out.events.push(event);
+                if self.config.is_none() {
+                    // All entries learn of the first configuration at once; they don't all claim.
+                    self.seat.wait_from(now);
+                }
                 if let Some(engine) = &mut self.engine {
                     engine.configure(&config, now);
                 }
--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -35,8 +35,10 @@
     pub(super) epoch: u64,
     /// The log holds it.
     pub(super) stored: bool,
-    /// The holder of the epoch before.
-    pub(super) predecessor: Option<Arc<str>>,
+    /// Another entry held an epoch before.
+    pub(super) succeeds: bool,
+    /// When this entry became the holder, through all lives of its process without another holder between.
+    pub(super) since: Time,
 }
 
 impl Control {
@@ -62,10 +64,12 @@
 
     fn claim(&mut self, epoch: u64, now: Time) {
         let leader = self.book.leader();
+        let own = leader.filter(|leader| leader.holder == self.identity.name);
         self.claim = Some(Claim {
             epoch,
             stored: false,
-            predecessor: leader.map(|leader| Arc::clone(&leader.holder)),
+            succeeds: leader.is_some(),
+            since: own.map_or(now, |leader| leader.since),
         });
         let record = self.leader_record(epoch, false);
         self.out
@@ -88,6 +92,7 @@
             holder: Arc::clone(&self.identity.name),
             born: self.identity.born,
             resigned,
+            since: self.claim.as_ref().map_or(Time::MIN, |claim| claim.since),
         })
     }
 
@@ -96,18 +101,18 @@
         let (Some(claim), Some(config)) = (&self.claim, &self.config) else {
             return;
         };
-        let ordered = match &claim.predecessor {
-            Some(_) => self.predecessor_heard + self.rules.tenure,
-            None => Time::MIN,
-        };
-        let same_holder = match &claim.predecessor {
-            Some(holder) => *holder == self.identity.name,
-            None => true,
+        let (ordered, hosts_from) = match claim.succeeds {
+            // An earlier life of this process may order hosts as it did; another holder's orders have to be past.
+            true => (
+                self.predecessor_heard + self.rules.tenure,
+                claim.since + self.rules.tenure + self.rules.host_lease,
+            ),
+            false => (Time::MIN, Time::MIN),
         };
         let succession = Succession {
             epoch: claim.epoch,
             ordered,
-            same_holder,
+            hosts_from,
         };
         let mut engine = Engine::new(self.rules, succession, config, now);
         for listed in self.runners.values() {
--- a/crates/control/src/front/front.rs
+++ b/crates/control/src/front/front.rs
@@ -24,9 +24,14 @@
 use tokio::{
     net::TcpListener,
     task::spawn_local,
-    time::sleep, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
+/// Time for requests in progress after the process was asked to close.
+const DRAIN_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a connection could not be accepted, for example for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -50,7 +55,7 @@
     pub clock: Clock,
 }
 
-/// Runs until the last connection has ended after a [`Notice::Close`]. It needs a local task set.
+/// Runs until the last connection has ended after a [`Notice::Close`], or has had time to. It needs a local task set.
 pub async fn run<P: Platform>(front: Front<P>) {
     let mut notices = front.notices;
     let exchange = Rc::new(Exchange::new(
@@ -73,11 +78,15 @@
                 Notice::Reply { caller, reply } => exchange.reply(caller, reply),
                 Notice::Config(config) => exchange.configure(config),
                 Notice::Ready(ready) => exchange.set_ready(ready),
-                Notice::Close => exchange.close(),
+                Notice::Close => {
+                    exchange.close();
+                    // A connection that does not end in time is cut with the process.
+                    let _ = timeout(DRAIN_LIMIT, exchange.drained()).await;
+                    return;
+                }
             }
         }
         if notices.is_closed() {
-            exchange.drained().await;
             return;
         }
     }
--- /dev/null
+++ b/crates/control/tests/world/entry.rs
@@ -0,0 +1,347 @@
+//! One entry with the log thread that it would have.
+
+use super::{
+    Plan,
+    World,
+    event::Event, //
+};
+use rand::RngExt;
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_control::{
+    control::{
+        Control,
+        Identity, //
+    },
+    front::Notice,
+    port::{
+        self,
+        Reply, //
+    },
+    store::{
+        self,
+        Request,
+        Written, //
+    },
+};
+use sassafrascrank_job::{
+    Record,
+    record, //
+};
+use sassafrascrank_schedule::{
+    Rules,
+    runner::Change, //
+};
+use sassafrascrank_standin::cluster::{
+    Producer,
+    Rejected, //
+};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+/// Topic of the jobs.
+const TOPIC: &str = "jobs";
+/// Time after which an append without an answer is repeated.
+const REPEAT: (u64, u64) = (120, 160);
+
+/// One entry.
+pub(super) struct Entry {
+    index: usize,
+    plan: Plan,
+    pub(super) control: Option<Control>,
+    pub(super) life: u64,
+    pub(super) paused: Duration,
+    pub(super) log_cut: Duration,
+    next: Option<u64>,
+    pace: Duration,
+    runners: bool,
+    epoch: u64,
+    sequence: u64,
+    writes: VecDeque<(u64, Vec<Record>)>,
+    writing: Option<(u64, Vec<Record>, Duration)>,
+    accepts: BTreeMap<u64, Record>,
+    accept_sequence: BTreeMap<u64, u64>,
+}
+
+impl Entry {
+    pub(super) fn new(index: usize, plan: Plan, _now: Time) -> Self {
+        Self {
+            index,
+            plan,
+            control: None,
+            life: 0,
+            paused: Duration::ZERO,
+            log_cut: Duration::ZERO,
+            next: None,
+            pace: Duration::from_millis(300),
+            runners: false,
+            epoch: 0,
+            sequence: 0,
+            writes: VecDeque::new(),
+            writing: None,
+            accepts: BTreeMap::new(),
+            accept_sequence: BTreeMap::new(),
+        }
+    }
+
+    fn restart(&mut self, now: Time) {
+        self.life += 1;
+        let identity = Identity {
+            name: format!("entry-{}", self.index).into(),
+            born: now.as_micros() + self.life,
+        };
+        let lead = sassafrascrank_lead::Rules::default();
+        let mut rules = Rules::default();
+        if !self.plan.waits {
+            rules.tenure = Duration::ZERO;
+        }
+        self.control = Some(Control::new(identity, lead, rules, now));
+        self.next = None;
+        self.pace = Duration::from_millis(300);
+        self.runners = false;
+        self.epoch = 0;
+        self.writes.clear();
+        self.writing = None;
+        self.accepts.clear();
+        self.accept_sequence.clear();
+    }
+}
+
+impl World {
+    pub(super) fn boot(&mut self, index: usize) {
+        let now = self.time();
+        self.entries[index].restart(now);
+        let life = self.entries[index].life;
+        let config = self.config.clone();
+        self.with(index, |control| {
+            let notices = vec![port::Notice::Config(config)];
+            control.take_event(store::Event::Operator(notices), now);
+        });
+        self.push_after(1, 20, Event::Read(index, life));
+        self.push_after(1, 25, Event::Tick(index, life));
+    }
+
+    /// Lets an entry decide, and sends what it wants sent.
+    pub(super) fn with(&mut self, index: usize, act: impl FnOnce(&mut Control)) {
+        let Some(control) = &mut self.entries[index].control else {
+            return;
+        };
+        act(control);
+        let output = control.take_output();
+        for notice in output.notices {
+            if let Notice::Reply { caller, reply } = notice {
+                self.replied(caller as usize, &reply);
+            }
+        }
+        for request in output.requests {
+            self.request(index, request);
+        }
+        for order in output.orders {
+            self.order(index, order);
+        }
+    }
+
+    fn replied(&mut self, caller: usize, reply: &Reply) {
+        if let Some(submission) = self.submissions.get_mut(caller)
+            && *reply == Reply::Done
+        {
+            submission.accepted = true;
+        }
+    }
+
+    fn request(&mut self, index: usize, request: Request) {
+        let life = self.entries[index].life;
+        match request {
+            Request::Accept { token, record } => {
+                let entry = &mut self.entries[index];
+                let sequence = entry.accept_sequence.len() as u64;
+                entry.accept_sequence.insert(token, sequence);
+                entry.accepts.insert(token, record);
+                self.push_after(3, 10, Event::Accept(index, life, token));
+            }
+            Request::Lead { epoch, record } => {
+                let entry = &mut self.entries[index];
+                entry.epoch = epoch;
+                entry.sequence = 0;
+                entry.writes.clear();
+                entry.writes.push_back((epoch, vec![record]));
+                entry.writing = None;
+                self.push_after(3, 10, Event::Append(index, life));
+            }
+            Request::Write(records) => {
+                let entry = &mut self.entries[index];
+                let epoch = entry.epoch;
+                entry.writes.push_back((epoch, records));
+                self.push_after(3, 10, Event::Append(index, life));
+            }
+            Request::Abandon => {
+                let entry = &mut self.entries[index];
+                entry.epoch = 0;
+                entry.writes.clear();
+                entry.writing = None;
+            }
+            Request::Pace { jobs, runners } => {
+                let entry = &mut self.entries[index];
+                entry.pace = jobs;
+                let begins = runners && !entry.runners;
+                entry.runners = runners;
+                if begins {
+                    self.list_to(index);
+                }
+            }
+            Request::Refresh | Request::Announce { .. } => {}
+        }
+    }
+
+    pub(super) fn list_to_all(&mut self) {
+        for index in 0..self.entries.len() {
+            if self.entries[index].runners {
+                self.list_to(index);
+            }
+        }
+    }
+
+    fn list_to(&mut self, index: usize) {
+        let life = self.entries[index].life;
+        let changes = self.listing().into_iter().map(Change::Set).collect();
+        let event = store::Event::Runners {
+            changes,
+            complete: true,
+        };
+        self.push_after(10, 60, Event::Store(index, life, event));
+    }
+
+    pub(super) fn read(&mut self, index: usize, life: u64) {
+        if self.entries[index].life != life || self.entries[index].control.is_none() {
+            return;
+        }
+        let started = self.time();
+        if self.entries[index].log_cut > self.now {
+            let topic = port::Topic::Jobs;
+            self.push_after(
+                50,
+                90,
+                Event::Store(index, life, store::Event::ReadFailed { topic }),
+            );
+            self.push_after(100, 150, Event::Read(index, life));
+            return;
+        }
+        let (rows, complete) = match self.entries[index].next {
+            None => {
+                let (end, rows) = self.log.newest(TOPIC);
+                self.entries[index].next = Some(end);
+                let mut rows = rows;
+                rows.sort_unstable_by_key(|row| row.0);
+                (rows, true)
+            }
+            Some(from) => match self.log.read(TOPIC, from) {
+                Ok((end, records)) => {
+                    self.entries[index].next = Some(end);
+                    let rows = (from..).zip(records);
+                    (
+                        rows.map(|(at, (key, value))| (at, key, value)).collect(),
+                        false,
+                    )
+                }
+                Err(_) => {
+                    self.entries[index].next = None;
+                    self.push_after(1, 5, Event::Read(index, life));
+                    return;
+                }
+            },
+        };
+        let decode = |(offset, key, value): (u64, String, Vec<u8>)| {
+            let record =
+                record::decode(&key, &value).expect("the entries write what they can read");
+            (offset, record)
+        };
+        let event = store::Event::Jobs {
+            records: rows.into_iter().map(decode).collect(),
+            started,
+            complete,
+        };
+        self.push_after(2, 6, Event::Store(index, life, event));
+        let pace = self.entries[index].pace.as_millis() as u64;
+        self.push_after(pace.max(10), pace.max(10) + 10, Event::Read(index, life));
+    }
+
+    pub(super) fn append(&mut self, index: usize, life: u64) {
+        if self.entries[index].life != life || self.entries[index].control.is_none() {
+            return;
+        }
+        let now = self.now;
+        let entry = &mut self.entries[index];
+        if entry.writing.is_none() {
+            let Some((epoch, records)) = entry.writes.pop_front() else {
+                return;
+            };
+            if epoch != entry.epoch {
+                return;
+            }
+            entry.writing = Some((epoch, records, now));
+        }
+        if entry.log_cut > now {
+            self.push_after(REPEAT.0, REPEAT.1, Event::Append(index, life));
+            return;
+        }
+        let Some((epoch, records, started)) = entry.writing.clone() else {
+            return;
+        };
+        let producer = Producer {
+            name: "leader".to_owned(),
+            epoch,
+            sequence: entry.sequence,
+        };
+        let rows = records.iter().map(record::encode).collect();
+        let result = self.log.append(TOPIC, Some(&producer), None, rows);
+        if self.faulty() && self.rng.random_bool(0.05) {
+            // The answer is lost; the append is repeated with the same sequence.
+            self.push_after(REPEAT.0, REPEAT.1, Event::Append(index, life));
+            return;
+        }
+        let result = match result {
+            Ok(_) => Written::Stored,
+            Err(Rejected::Fenced) => Written::Fenced,
+            Err(other) => panic!("the sequence of the leader is broken: {other:?}"),
+        };
+        let entry = &mut self.entries[index];
+        entry.sequence += 1;
+        entry.writing = None;
+        let event = store::Event::Written {
+            epoch,
+            started: super::EPOCH + started,
+            result,
+        };
+        self.push_after(2, 6, Event::Store(index, life, event));
+        self.push_after(7, 9, Event::Append(index, life));
+    }
+
+    pub(super) fn accept(&mut self, index: usize, life: u64, token: u64) {
+        if self.entries[index].life != life || self.entries[index].control.is_none() {
+            return;
+        }
+        if self.entries[index].log_cut > self.now {
+            self.push_after(REPEAT.0, REPEAT.1, Event::Accept(index, life, token));
+            return;
+        }
+        let entry = &self.entries[index];
+        let producer = Producer {
+            name: format!("entry-{index}-{token}"),
+            epoch: life,
+            sequence: 0,
+        };
+        let rows = vec![record::encode(&entry.accepts[&token])];
+        let result = self.log.append(TOPIC, Some(&producer), None, rows);
+        assert!(result.is_ok(), "a caller's append is rejected: {result:?}");
+        if self.faulty() && self.rng.random_bool(0.05) {
+            self.push_after(REPEAT.0, REPEAT.1, Event::Accept(index, life, token));
+            return;
+        }
+        let event = store::Event::Accepted {
+            token,
+            stored: true,
+        };
+        self.push_after(2, 6, Event::Store(index, life, event));
+    }
+}
--- a/crates/job/src/record/record.rs
+++ b/crates/job/src/record/record.rs
@@ -5,6 +5,7 @@
     Job,
     Progress, //
 };
+use sassafrascrank_base::prelude::*;
 use std::sync::Arc;
 
 /// Who schedules.
@@ -18,6 +19,8 @@
     pub born: u64,
     /// The leader gives up its role.
     pub resigned: bool,
+    /// When this entry became the holder, through all lives of its process without another holder between.
+    pub since: Time,
 }
 
 /// Hosts of a maintenance wave that have begun their maintenance.
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -97,6 +97,7 @@
     holder: String,
     born: u64,
     resigned: bool,
+    since: u64,
 }
 
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -348,6 +349,7 @@
             holder: leader.holder.to_string(),
             born: leader.born,
             resigned: leader.resigned,
+            since: leader.since.as_micros(),
         }
     }
 }
@@ -359,6 +361,7 @@
             holder: wire.holder.into(),
             born: wire.born,
             resigned: wire.resigned,
+            since: Time::from_micros(wire.since),
         }
     }
 }
--- a/crates/lead/src/seat/seat.rs
+++ b/crates/lead/src/seat/seat.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Waits from `now` on before a claim, since this entry could not have led before.
+    pub fn wait_from(&mut self, now: Time) {
+        self.reading_since = self.reading_since.map(|since| since.max(now));
+    }
+
     /// Takes a record by a leader. Returns whether this entry has lost its role.
     pub fn hear(&mut self, heard: Heard, now: Time) -> bool {
         let known = self.heard.map_or(0, |known| known.epoch);
--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -98,6 +98,9 @@
         let Some(work) = self.works.get_mut(key) else {
             return;
         };
+        if work.outcome.is_some() {
+            return;
+        }
         let job = Arc::clone(&work.job);
         for step in 0..job.steps.len() {
             let Some(found) = work.occurrence(number) else {
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -38,8 +38,8 @@
     pub epoch: u64,
     /// Latest time at which the former leader may have given an order.
     pub ordered: Time,
-    /// The former leader was an earlier life of this entry.
-    pub same_holder: bool,
+    /// Earliest time for an order to a host, since another holder may have given one shortly before.
+    pub hosts_from: Time,
 }
 
 /// What happens once the log holds a state.
@@ -89,10 +89,6 @@
     pub fn new(rules: Rules, succession: Succession, config: &Config, now: Time) -> Self {
         let whole = 1_000 - u64::from(rules.drift);
         let longest = rules.lease.mul_f64(1_000.0 / whole as f64);
-        let hosts_from = match succession.same_holder {
-            true => now,
-            false => succession.ordered.max(now) + rules.host_lease,
-        };
         let mut engine = Self {
             rules,
             epoch: succession.epoch,
@@ -110,7 +106,7 @@
             effects: Vec::new(),
             storing: None,
             startable: Vec::new(),
-            fleet: Fleet::new(hosts_from),
+            fleet: Fleet::new(succession.hosts_from),
             orders: Vec::new(),
             notes: Vec::new(),
             deposed: false,
--- /dev/null
+++ b/crates/standin/src/cluster/mod.rs
@@ -0,0 +1,29 @@
+//! Stand-ins for the users' platform: its log, its runners, and its host service.
+//!
+//! [`Log`], [`Worker`] and [`Hosts`] are plain state machines with the time as an argument, for tests in virtual time.
+//! [`Cluster`] serves them over HTTP on loopback addresses, for end-to-end tests and the demo.
+
+mod hosts;
+mod log;
+
+mod worker;
+
+pub use hosts::{
+    Host,
+    Hosts,
+    Phase, //
+};
+pub use log::{
+    Appended,
+    Log,
+    Producer,
+    Rejected, //
+};
+pub use worker::{
+    End,
+    Interval,
+    Refused,
+    Run,
+    Start,
+    Worker, //
+};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for outside systems with seeded faults, for tests and the demo.
 
+pub mod cluster;
 mod listener;
 pub mod platform;
 pub mod runner;
