fix: give up runs at silent runners, and discard requests that were given up

Change: a silent runner is only probed; connections are reset when they are closed, and by the system after 3 s without an acknowledgement.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -19,12 +19,16 @@
     client::conn::http1, //
 };
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     task::AbortHandle,
     time::timeout, //
 };
 
+/// Time without an acknowledgement after which the system gives up a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+
 /// A request with its whole body.
 pub type Message = Request<Full<Bytes>>;
 
@@ -143,10 +147,7 @@
 
     async fn connect(&self, limit: Duration) -> Result<Link, Failure> {
         let stream = within(limit, TcpStream::connect(self.address)).await?;
-        // Without this, a small request waits for the acknowledgement of the one before.
-        stream
-            .set_nodelay(true)
-            .map_err(|error| Failure::Unsent(error.to_string()))?;
+        configure(&stream).map_err(|error| Failure::Unsent(error.to_string()))?;
         let handshake = http1::handshake(TokioIo::new(stream));
         let (sender, driver) = within(limit, handshake).await?;
         let driver = tokio::spawn(async move {
@@ -158,6 +159,17 @@
     }
 }
 
+/// Sets the options of a new connection.
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
+    // Without this, a small request waits for the acknowledgement of the one before.
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    // A request that was given up must not arrive later: closing discards what a partition holds back, also when the
+    // process is killed.
+    socket.set_linger(Some(Duration::ZERO))?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
 async fn exchange(
     sender: &mut http1::SendRequest<Full<Bytes>>,
     request: Message,
--- a/crates/schedule/src/engine/look.rs
+++ b/crates/schedule/src/engine/look.rs
@@ -49,8 +49,10 @@
             let rules = self.rules;
             let runner = &mut self.runners[key];
             runner.looking = Some(now);
-            // Without runs there is no lease to renew.
-            let until = match may_order && !runner.runs.is_empty() {
+            // Without runs there is no lease to renew. A renewal that gets no answer would put off the time from which
+            // the runs count as ended.
+            let renews = may_order && !runner.runs.is_empty() && runner.misses == 0;
+            let until = match renews {
                 true => runner.renew(rules.lease, &rules, now),
                 false => None,
             };
