--- a/crates/control/src/control/run.rs
+++ b/crates/control/src/control/run.rs
@@ -41,8 +41,8 @@
 const FOLLOWER_TICK: Duration = Duration::from_millis(100);
 /// Time from the request to stop until connections close; by then the balancer sends no new ones.
 const CLOSE_DELAY: Duration = Duration::from_millis(2_600);
-/// Time from the request to stop until the thread ends.
-const END_DELAY: Duration = Duration::from_millis(3_200);
+/// Time from the request to stop until the thread ends at the latest; connections have had 2 s to end by then.
+const END_DELAY: Duration = Duration::from_millis(4_800);
 
 /// Rings of the thread.
 pub struct Ports {
@@ -110,7 +110,8 @@
                 closed = true;
                 backlog.notices.push_back(front::Notice::Close);
             }
-            if now >= at + END_DELAY {
+            // The thread of callers ends once its connections have; until then it needs answers.
+            if ports.calls.is_closed() || now >= at + END_DELAY {
                 return;
             }
         }
--- a/crates/control/src/front/front.rs
+++ b/crates/control/src/front/front.rs
@@ -25,13 +25,14 @@
     net::TcpListener,
     task::spawn_local,
     time::{
+        Instant,
         sleep,
-        timeout, //
+        sleep_until, //
     },
 };
 
 /// Time for requests in progress after the process was asked to close.
-const DRAIN_LIMIT: Duration = Duration::from_millis(1_500);
+const DRAIN_LIMIT: Duration = Duration::from_millis(2_000);
 /// Pause after a connection could not be accepted, for example for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -70,9 +71,18 @@
     if let Ok(listener) = TcpListener::from_std(front.readiness) {
         spawn_local(accept_readiness::<P>(listener, Rc::clone(&exchange)));
     }
+    let mut close_at = None;
     loop {
         let ready = || !notices.is_empty() || notices.is_closed();
-        front.signal.wait(ready).await;
+        match close_at {
+            None => front.signal.wait(ready).await,
+            // Answers to requests in progress still come while connections close.
+            Some(limit) => tokio::select! {
+                () = front.signal.wait(ready) => {}
+                () = exchange.drained() => return,
+                () = sleep_until(limit) => return,
+            },
+        }
         while let Some(notice) = notices.try_recv() {
             match notice {
                 Notice::Reply { caller, reply } => exchange.reply(caller, reply),
@@ -80,9 +90,7 @@
                 Notice::Ready(ready) => exchange.set_ready(ready),
                 Notice::Close => {
                     exchange.close();
-                    // A connection that does not end in time is cut with the process.
-                    let _ = timeout(DRAIN_LIMIT, exchange.drained()).await;
-                    return;
+                    close_at = Some(Instant::now() + DRAIN_LIMIT);
                 }
             }
         }
