perf(schedule): keep two spare hosts in each pool and switch idle ones off after 0.8 s

Cause: at the beginning of a turn a pool has one spare host until others arrive after 1.6 s; idle hosts stayed for 1.5 s.

--- a/crates/schedule/src/engine/balance.rs
+++ b/crates/schedule/src/engine/balance.rs
@@ -25,10 +25,10 @@
 const FILL: f64 = 0.88;
 /// Time without work after which a host goes to another pool that needs it.
 const IDLE_LEND: Duration = Duration::from_millis(300);
-/// Time without work after which a host is switched off. A move costs as much as a second of an idle host.
-const IDLE_OFF: Duration = Duration::from_millis(1_500);
+/// Time without work after which a host is switched off, so that a pause between two tasks does not count.
+const IDLE_OFF: Duration = Duration::from_millis(800);
 /// Hosts that stay in a pool although it has no work, for the first tasks of a turn.
-const RESERVE: usize = 1;
+const RESERVE: usize = 2;
 /// Tasks that wait and are counted at most; beyond it the pool needs all hosts that there are.
 const READY_LIMIT: usize = 2_000;
 
