perf(control): shorten what a new leader waits for

Change: the log holds when each host was ordered; a resigned leader and an earlier life count as gone; the leader's record carries until when runs of leaders before it may go on.

--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -35,10 +35,21 @@
     pub(super) epoch: u64,
     /// The log holds it.
     pub(super) stored: bool,
-    /// Another entry held an epoch before.
-    pub(super) succeeds: bool,
-    /// When this entry became the holder, through all lives of its process without another holder between.
-    pub(super) since: Time,
+    /// How the epoch before was held.
+    pub(super) predecessor: Predecessor,
+    /// Until then, runs of leaders before the predecessor may go on.
+    runs_until: Time,
+}
+
+/// How the epoch before a claim was held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Predecessor {
+    /// Nobody held it.
+    None,
+    /// The holder has stopped ordering: it resigned, or it was an earlier life of this process.
+    Gone,
+    /// The holder may still order for the length of a tenure.
+    Silent,
 }
 
 impl Control {
@@ -63,13 +74,22 @@
     }
 
     fn claim(&mut self, epoch: u64, now: Time) {
-        let leader = self.book.leader();
-        let own = leader.filter(|leader| leader.holder == self.identity.name);
+        let predecessor = match self.book.leader() {
+            None => Predecessor::None,
+            Some(leader) if leader.resigned || leader.holder == self.identity.name => {
+                Predecessor::Gone
+            }
+            Some(_) => Predecessor::Silent,
+        };
+        let runs_until = self
+            .book
+            .leader()
+            .map_or(Time::MIN, |leader| leader.runs_until);
         self.claim = Some(Claim {
             epoch,
             stored: false,
-            succeeds: leader.is_some(),
-            since: own.map_or(now, |leader| leader.since),
+            predecessor,
+            runs_until,
         });
         let record = self.leader_record(epoch, false);
         self.out
@@ -92,28 +112,32 @@
             holder: Arc::clone(&self.identity.name),
             born: self.identity.born,
             resigned,
-            since: self.claim.as_ref().map_or(Time::MIN, |claim| claim.since),
+            runs_until: self.runs_until(),
         })
     }
 
+    /// Returns until when runs of earlier leaders may go on at runners that don't answer.
+    fn runs_until(&self) -> Time {
+        let Some(claim) = &self.claim else {
+            return Time::MIN;
+        };
+        let ordered = match claim.predecessor {
+            Predecessor::None => return claim.runs_until,
+            Predecessor::Gone => self.predecessor_heard,
+            Predecessor::Silent => self.predecessor_heard + self.rules.tenure,
+        };
+        claim.runs_until.max(self.rules.lapse(ordered))
+    }
+
     /// Builds the scheduler from the log.
     fn begin(&mut self, wall: Time, now: Time) {
         let (Some(claim), Some(config)) = (&self.claim, &self.config) else {
             return;
         };
-        let (ordered, blocked_until) = match claim.succeeds {
-            // An earlier life of this process may order hosts as it did; another holder's orders have to be past.
-            true => (
-                self.predecessor_heard + self.rules.tenure,
-                claim.since + self.rules.tenure + self.rules.host_lease,
-            ),
-            false => (Time::MIN, Time::MIN),
-        };
         let succession = Succession {
             epoch: claim.epoch,
-            ordered,
-            blocked: self.book.ordered().hosts.iter().cloned().collect(),
-            blocked_until,
+            runs_until: self.runs_until(),
+            hosts: self.book.ordered().hosts.iter().cloned().collect(),
         };
         let mut engine = Engine::new(self.rules, succession, config, now);
         engine.learn(self.book.turns(), now);
--- a/crates/job/src/record/record.rs
+++ b/crates/job/src/record/record.rs
@@ -19,8 +19,8 @@
     pub born: u64,
     /// The leader gives up its role.
     pub resigned: bool,
-    /// When this entry became the holder, through all lives of its process without another holder between.
-    pub since: Time,
+    /// Until then, runs of earlier leaders may go on at runners that don't answer.
+    pub runs_until: Time,
 }
 
 /// Hosts of a maintenance wave that have begun their maintenance.
@@ -41,8 +41,8 @@
 pub struct Ordered {
     /// Epoch of the leader that wrote it.
     pub epoch: u64,
-    /// Names of the hosts.
-    pub hosts: Vec<Arc<str>>,
+    /// Names of the hosts, and when each was last ordered.
+    pub hosts: Vec<(Arc<str>, Time)>,
 }
 
 /// What a leader has learned of the demand on one pool.
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -102,7 +102,8 @@
     holder: String,
     born: u64,
     resigned: bool,
-    since: u64,
+    /// Microseconds since the Unix epoch.
+    runs_until: u64,
 }
 
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -115,7 +116,8 @@
 #[derive(serde::Deserialize, serde::Serialize)]
 struct WireOrdered {
     epoch: u64,
-    hosts: Vec<String>,
+    /// Host and microseconds since the Unix epoch.
+    hosts: Vec<(String, u64)>,
 }
 
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -146,13 +148,7 @@
         ),
         Record::Leader(leader) => (LEADER_KEY.to_owned(), pack(&WireLeader::from(leader))),
         Record::Wave(wave) => (format!("w{}", wave.number), pack(&WireWave::from(wave))),
-        Record::Ordered(ordered) => (
-            ORDERED_KEY.to_owned(),
-            pack(&WireOrdered {
-                epoch: ordered.epoch,
-                hosts: ordered.hosts.iter().map(|host| host.to_string()).collect(),
-            }),
-        ),
+        Record::Ordered(ordered) => (ORDERED_KEY.to_owned(), pack(&WireOrdered::from(ordered))),
         Record::Turns(turns) => (TURNS_KEY.to_owned(), pack(&WireTurns::from(turns))),
         Record::Forget(id) => (format!("j{id}"), Vec::new()),
     }
@@ -168,11 +164,7 @@
         return Ok(Record::Leader(unpack::<WireLeader>(key, value)?.into()));
     }
     if key == ORDERED_KEY {
-        let wire: WireOrdered = unpack(key, value)?;
-        return Ok(Record::Ordered(Ordered {
-            epoch: wire.epoch,
-            hosts: wire.hosts.into_iter().map(Arc::from).collect(),
-        }));
+        return Ok(Record::Ordered(unpack::<WireOrdered>(key, value)?.into()));
     }
     if key == TURNS_KEY {
         return Ok(Record::Turns(unpack::<WireTurns>(key, value)?.into()));
@@ -395,7 +387,7 @@
             holder: leader.holder.to_string(),
             born: leader.born,
             resigned: leader.resigned,
-            since: leader.since.as_micros(),
+            runs_until: leader.runs_until.as_micros(),
         }
     }
 }
@@ -407,7 +399,7 @@
             holder: wire.holder.into(),
             born: wire.born,
             resigned: wire.resigned,
-            since: Time::from_micros(wire.since),
+            runs_until: Time::from_micros(wire.runs_until),
         }
     }
 }
@@ -474,3 +466,23 @@
         }
     }
 }
+
+impl From<&Ordered> for WireOrdered {
+    fn from(ordered: &Ordered) -> Self {
+        let row = |(host, at): &(Arc<str>, Time)| (host.to_string(), at.as_micros());
+        Self {
+            epoch: ordered.epoch,
+            hosts: ordered.hosts.iter().map(row).collect(),
+        }
+    }
+}
+
+impl From<WireOrdered> for Ordered {
+    fn from(wire: WireOrdered) -> Self {
+        let row = |(host, at): (String, u64)| (Arc::from(host), Time::from_micros(at));
+        Self {
+            epoch: wire.epoch,
+            hosts: wire.hosts.into_iter().map(row).collect(),
+        }
+    }
+}
--- a/crates/schedule/src/config/rules.rs
+++ b/crates/schedule/src/config/rules.rs
@@ -63,3 +63,11 @@
         }
     }
 }
+
+impl Rules {
+    /// Returns when everything has ended that was renewed up to `ordered`, by the slowest clock.
+    pub fn lapse(&self, ordered: Time) -> Time {
+        let rate = 1.0 - f64::from(self.drift) / 1_000.0;
+        ordered + self.lease.div_f64(rate) + self.margin
+    }
+}
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -30,11 +30,8 @@
 };
 use slotmap::SlotMap;
 use std::{
-    collections::{
-        HashMap,
-        HashSet, //
-    },
-    sync::Arc,
+    collections::HashMap,
+    sync::Arc, //
 };
 
 /// What a new leader has to respect of the former one.
@@ -42,12 +39,10 @@
 pub struct Succession {
     /// Epoch of the new leader.
     pub epoch: u64,
-    /// Latest time at which the former leader may have given an order.
-    pub ordered: Time,
-    /// Hosts that another holder may have ordered shortly before.
-    pub blocked: HashSet<Arc<str>>,
-    /// Earliest time for an order to one of these hosts.
-    pub blocked_until: Time,
+    /// Until then, runs of former leaders may go on at runners that don't answer.
+    pub runs_until: Time,
+    /// When former leaders last ordered hosts.
+    pub hosts: HashMap<Arc<str>, Time>,
 }
 
 /// What happens once the log holds a state.
@@ -99,12 +94,10 @@
 impl Engine {
     /// Makes the engine of a new leader, without jobs and runners.
     pub fn new(rules: Rules, succession: Succession, config: &Config, now: Time) -> Self {
-        let whole = 1_000 - u64::from(rules.drift);
-        let longest = rules.lease.mul_f64(1_000.0 / whole as f64);
         let mut engine = Self {
             rules,
             epoch: succession.epoch,
-            inherited_until: succession.ordered + longest + rules.margin,
+            inherited_until: succession.runs_until,
             queues: SlotMap::with_key(),
             queue_index: HashMap::new(),
             pools: SlotMap::with_key(),
@@ -118,7 +111,7 @@
             effects: Vec::new(),
             storing: None,
             startable: Vec::new(),
-            fleet: Fleet::new(succession.blocked, succession.blocked_until),
+            fleet: Fleet::new(succession.hosts),
             orderable: Vec::new(),
             orders: Vec::new(),
             notes: Vec::new(),
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -37,6 +37,8 @@
 const REST: Duration = Duration::from_millis(700);
 /// Time within which an accepted order shows in the host list, at the latest.
 const SHOWN: Duration = Duration::from_millis(1_200);
+/// Difference between the clocks of two entries that is allowed for.
+const CLOCK_MARGIN: Duration = Duration::from_millis(700);
 /// Time for which a host is kept closed although it does not become empty.
 const CLOSE_LIMIT: Duration = Duration::from_millis(6_000);
 /// Hosts of one pool that may be closed at once, as a divisor of the pool's size.
@@ -257,8 +259,8 @@
             // A runner that the service list lacks may run tasks, unless the pool's hosts are switched off.
             None => self.pools[host.pool].standby || host.listed.runner.is_none(),
         };
-        let blocked =
-            now < self.fleet.blocked_until && self.fleet.blocked.contains(&host.listed.name);
+        let before = self.fleet.before.get(&host.listed.name);
+        let blocked = before.is_some_and(|at| now < *at + self.rules.host_lease + CLOCK_MARGIN);
         host.listed.state == State::Up
             && host.task.is_none()
             && now >= host.rest
--- a/crates/schedule/src/fleet/fleet.rs
+++ b/crates/schedule/src/fleet/fleet.rs
@@ -12,8 +12,7 @@
 use std::{
     collections::{
         BTreeMap,
-        HashMap,
-        HashSet, //
+        HashMap, //
     },
     sync::Arc,
 };
@@ -32,9 +31,8 @@
     pub(crate) waves: BTreeMap<u64, Wave>,
     /// Waves whose progress the log lacks.
     pub(crate) unstored: Vec<u64>,
-    /// Hosts that the former leader may have ordered, and until when they are left alone.
-    pub(crate) blocked: HashSet<Arc<str>>,
-    pub(crate) blocked_until: Time,
+    /// When former leaders last ordered hosts, which are left alone for a while after that.
+    pub(crate) before: HashMap<Arc<str>, Time>,
     /// Hosts were ordered that the log does not name as such.
     pub(crate) unnamed: bool,
     /// When the host list was asked for, while no answer has come.
@@ -48,15 +46,14 @@
 }
 
 impl Fleet {
-    /// Makes a fleet without hosts, of which those in `blocked` get no order before `until`.
-    pub fn new(blocked: HashSet<Arc<str>>, until: Time) -> Self {
+    /// Makes a fleet without hosts; former leaders ordered those in `before`.
+    pub fn new(before: HashMap<Arc<str>, Time>) -> Self {
         Self {
             hosts: SlotMap::with_key(),
             index: HashMap::new(),
             waves: BTreeMap::new(),
             unstored: Vec::new(),
-            blocked,
-            blocked_until: until,
+            before,
             unnamed: false,
             asked: None,
             ask_at: Time::MIN,
@@ -78,15 +75,14 @@
 
     /// Returns the names of the hosts that another holder must leave alone for a while.
     pub fn ordered(&self, epoch: u64, now: Time) -> record::Ordered {
-        let recent = |host: &&Host| host.task.is_some() || now < host.ordered + ORDER_MEMORY;
-        let hosts = self.hosts.values().filter(recent);
-        let mut names: Vec<Arc<str>> = hosts.map(|host| Arc::clone(&host.listed.name)).collect();
-        if now < self.blocked_until {
-            names.extend(self.blocked.iter().cloned());
-        }
+        let recent = |at: Time| now < at + ORDER_MEMORY;
+        let own = self.hosts.values().filter(|host| recent(host.ordered));
+        let own = own.map(|host| (Arc::clone(&host.listed.name), host.ordered));
+        let before = self.before.iter().filter(|(_, at)| recent(**at));
+        let before = before.map(|(name, at)| (Arc::clone(name), *at));
         record::Ordered {
             epoch,
-            hosts: names,
+            hosts: before.chain(own).collect(),
         }
     }
 
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -92,9 +92,8 @@
     pub fn new(runners: usize, racks: usize) -> Self {
         let succession = Succession {
             epoch: 7,
-            ordered: Time::MIN,
-            blocked: Default::default(),
-            blocked_until: Time::MIN,
+            runs_until: Time::MIN,
+            hosts: Default::default(),
         };
         let engine = Engine::new(Rules::default(), succession, &config(), EPOCH);
         let mut rig = Self {
