--- a/crates/standin/src/cluster/cluster.rs
+++ b/crates/standin/src/cluster/cluster.rs
@@ -1,1 +1,210 @@
-//! x
+//! The services of a cluster on loopback addresses.
+
+use super::{
+    Interval,
+    Plan,
+    answer::Answer,
+    runner,
+    service::{
+        self,
+        lock, //
+    },
+    state::{
+        OPERATOR,
+        State, //
+    },
+};
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use std::{
+    future::Future,
+    io,
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    thread,
+    time::Duration,
+};
+use tokio::{
+    runtime::Builder,
+    task::{
+        LocalSet,
+        spawn_local, //
+    },
+};
+
+/// Time between two entries that a runner writes.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+/// Topic in which the system publishes the state of waves.
+const STATUS: &str = "keyed.status";
+
+/// The platform's services on loopback addresses, served by one thread until the test ends.
+#[derive(Clone, Debug)]
+pub struct Cluster {
+    state: Arc<Mutex<State>>,
+    address: SocketAddr,
+}
+
+impl Cluster {
+    /// Starts the services.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a loopback address or a thread can't be had.
+    pub fn start(plan: Plan) -> io::Result<Self> {
+        let hosts: usize = plan.pools.iter().map(|pool| pool.hosts).sum();
+        let platform = listen()?;
+        let address = platform.local_addr()?;
+        let runners: Vec<TcpListener> = (0..hosts).map(|_| listen()).collect::<Result<_, _>>()?;
+        let addresses = runners.iter().map(TcpListener::local_addr);
+        let state = State::new(plan, addresses.collect::<Result<_, _>>()?);
+        let state = Arc::new(Mutex::new(state));
+        let shared = Arc::clone(&state);
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        thread::Builder::new()
+            .name("cluster".to_owned())
+            .spawn(move || LocalSet::new().block_on(&runtime, run(shared, platform, runners)))?;
+        Ok(Self { state, address })
+    }
+
+    /// Returns the settings of an entry with free addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no loopback address is free.
+    pub fn settings(&self, name: &str) -> io::Result<String> {
+        let free = || TcpListener::bind("127.0.0.1:0")?.local_addr();
+        let (front, ready) = (free()?, free()?);
+        let address = self.address;
+        Ok(format!(
+            "node={name}\nlisten.front={front}\nlisten.ready={ready}\nplatform.addr={address}\n\
+             cloud.addr={address}\nbounds.holdMaxMs=6000\n"
+        ))
+    }
+
+    /// Asks for the maintenance of hosts.
+    pub fn publish_wave(&self, wave: u64, hosts: &[String], seconds: u64, cap: usize) {
+        let value = json!({
+            "wave": wave,
+            "machines": hosts,
+            "durationS": seconds,
+            "cap": cap,
+        });
+        lock(&self.state).publish(OPERATOR, &format!("wave/{wave}"), &value);
+    }
+
+    /// Returns the names of all hosts.
+    pub fn hosts(&self) -> Vec<String> {
+        lock(&self.state).hosts.hosts.keys().cloned().collect()
+    }
+
+    /// Returns the hosts whose maintenance in a wave has begun, and the most that were in maintenance at once.
+    pub fn maintained(&self, wave: u64) -> (usize, usize) {
+        let state = lock(&self.state);
+        let begun = state.hosts.hosts.values();
+        let begun = begun.filter(|host| host.maintained.contains(&wave)).count();
+        (begun, state.hosts.most)
+    }
+
+    /// Returns the state of a wave as the system published it.
+    pub fn wave_state(&self, wave: u64) -> Option<String> {
+        let (_, rows) = lock(&self.state).log.newest(STATUS);
+        let key = format!("wave/{wave}");
+        let row = rows.into_iter().find(|(_, name, _)| *name == key)?;
+        let value: serde_json::Value = serde_json::from_slice(&row.2).ok()?;
+        Some(value["state"].as_str()?.to_owned())
+    }
+
+    /// Returns all runs that have ended.
+    pub fn history(&self) -> Vec<Interval> {
+        let state = lock(&self.state);
+        let workers = state.sites.values().filter_map(|site| site.worker.as_ref());
+        let present = workers.flat_map(|worker| worker.history.clone());
+        state.history.iter().cloned().chain(present).collect()
+    }
+
+    /// Drops the records of operators and runners but the newest of each key.
+    pub fn compact(&self) {
+        let mut state = lock(&self.state);
+        state.log.expire(OPERATOR);
+        state.log.expire(super::state::SERVERS);
+    }
+}
+
+fn listen() -> io::Result<TcpListener> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+async fn run(state: Arc<Mutex<State>>, platform: TcpListener, runners: Vec<TcpListener>) {
+    let shared = Arc::clone(&state);
+    spawn_local(accept(platform, move |request: Request<Incoming>| {
+        let state = Arc::clone(&shared);
+        async move {
+            let (head, body) = split(request).await;
+            service::serve(&state, &head, &body).await
+        }
+    }));
+    let names: Vec<String> = lock(&state).sites.keys().cloned().collect();
+    let mut named = names.clone();
+    // Addresses were given to hosts in the order of their numbers.
+    named.sort_by_key(|name| name[2..].parse::<usize>().unwrap_or_default());
+    for (host, listener) in named.into_iter().zip(runners) {
+        let shared = Arc::clone(&state);
+        spawn_local(accept(listener, move |request: Request<Incoming>| {
+            let state = Arc::clone(&shared);
+            let host = host.clone();
+            async move {
+                let (head, body) = split(request).await;
+                runner::serve(&state, &host, &head, &body).await
+            }
+        }));
+    }
+    loop {
+        tokio::time::sleep(HEARTBEAT).await;
+        lock(&state).beat();
+    }
+}
+
+async fn split(request: Request<Incoming>) -> (hyper::http::request::Parts, Vec<u8>) {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map(|body| body.to_bytes().to_vec());
+    (head, body.unwrap_or_default())
+}
+
+/// Accepts connections and answers their requests.
+async fn accept<S, F>(listener: TcpListener, answer: S)
+where
+    S: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept().await {
+        let answer = answer.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answer = answer(request);
+                async move { Ok::<_, std::convert::Infallible>(answer.await) }
+            });
+            // A broken connection concerns only the one who opened it.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- a/crates/standin/src/cluster/mod.rs
+++ b/crates/standin/src/cluster/mod.rs
@@ -3,11 +3,16 @@
 //! [`Log`], [`Worker`] and [`Hosts`] are plain state machines with the time as an argument, for tests in virtual time.
 //! [`Cluster`] serves them over HTTP on loopback addresses, for end-to-end tests and the demo.
 
+mod answer;
+mod cluster;
 mod hosts;
 mod log;
-
+mod runner;
+mod service;
+mod state;
 mod worker;
 
+pub use cluster::Cluster;
 pub use hosts::{
     Host,
     Hosts,
@@ -19,6 +24,11 @@
     Producer,
     Rejected, //
 };
+pub use state::{
+    Plan,
+    Pool,
+    Queue, //
+};
 pub use worker::{
     End,
     Interval,
--- /dev/null
+++ b/crates/standin/src/cluster/runner.rs
@@ -0,0 +1,112 @@
+//! Runners over HTTP.
+
+use super::{
+    Refused,
+    Start,
+    Worker,
+    answer::{
+        Answer,
+        json, //
+    },
+    service::lock,
+    state::State,
+};
+use hyper::{
+    StatusCode,
+    http::request::Parts, //
+};
+use serde_json::{
+    Value,
+    json as object, //
+};
+use std::{
+    sync::Mutex,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+use tokio::time::sleep;
+
+/// Time between two looks at a runner that a caller waits for.
+const POLL: Duration = Duration::from_millis(3);
+/// How long a task works whose text does not say so.
+const WORK: u64 = 200;
+
+/// Answers a request to the runner of a host. A text `work=N` makes a task work for N ms, `lasting` until it is
+/// stopped, and `fails` makes it fail.
+pub(super) async fn serve(state: &Mutex<State>, host: &str, head: &Parts, body: &[u8]) -> Answer {
+    let body: Value = serde_json::from_slice(body).unwrap_or_default();
+    let expected = head.headers.get("x-sassafrascrank-expect-instance");
+    let expected = expected.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or_default());
+    let begun = Instant::now();
+    loop {
+        {
+            let mut state = lock(state);
+            let now = state.now();
+            let worker = state.sites.get_mut(host).and_then(|site| site.worker.as_mut());
+            let Some(worker) = worker.filter(|worker| worker.id == expected) else {
+                return json(StatusCode::MISDIRECTED_REQUEST, &object!({}));
+            };
+            let result = order(worker, head.uri.path(), &body, now);
+            let waits = head.uri.path() == "/hold" && worker.ends.is_empty();
+            if result.is_err() || !waits || begun.elapsed() >= wait {
+                return answer(worker, result, now);
+            }
+        }
+        sleep(POLL).await;
+    }
+}
+
+fn order(worker: &mut Worker, path: &str, body: &Value, now: Duration) -> Result<(), Refused> {
+    let task = body["task"].as_str().unwrap_or_default();
+    let attempt = body["attempt"].as_u64().unwrap_or_default() as u32;
+    let fence = body["fence"].as_u64().unwrap_or_default();
+    match path {
+        "/run-start" => {
+            let text = body["spec"].as_str().unwrap_or_default();
+            let millis = text.split(' ').find_map(|word| word.strip_prefix("work="));
+            let millis = millis.and_then(|millis| millis.parse().ok()).unwrap_or(WORK);
+            let start = Start {
+                task: task.to_owned(),
+                attempt,
+                until: body["untilMs"].as_u64().unwrap_or_default(),
+                fence,
+                work: (!text.contains("lasting")).then(|| Duration::from_millis(millis)),
+                fails: text.contains("fails"),
+            };
+            worker.start(start, now)
+        }
+        "/run-stop" => worker.stop(task, attempt, fence, now),
+        _ => {
+            let acknowledged = body["ackCursor"].as_u64().unwrap_or_default();
+            worker.hold(body["untilMs"].as_u64(), fence, acknowledged, now)
+        }
+    }
+}
+
+fn answer(worker: &Worker, result: Result<(), Refused>, now: Duration) -> Answer {
+    let clock = worker.clock(now);
+    if let Err(refused) = result {
+        let body = object!({ "clockMs": clock, "reason": refused.as_str() });
+        return json(StatusCode::CONFLICT, &body);
+    }
+    let running: Vec<Value> = worker
+        .runs
+        .iter()
+        .map(|run| object!([run.task, run.attempt, "", 100, 0]))
+        .collect();
+    let finished: Vec<Value> = worker
+        .ends
+        .iter()
+        .map(|end| object!([end.number, end.task, end.attempt, end.how, ""]))
+        .collect();
+    let body = object!({
+        "clockMs": clock,
+        "born": worker.born,
+        "running": running,
+        "finished": finished,
+    });
+    json(StatusCode::OK, &body)
+}
--- a/crates/standin/src/cluster/service.rs
+++ b/crates/standin/src/cluster/service.rs
@@ -1,1 +1,189 @@
-//! x
+//! The log and the host service over HTTP.
+
+use super::{
+    Producer,
+    Rejected,
+    answer::{
+        Answer,
+        json,
+        number,
+        query,
+        raw, //
+    },
+    state::{
+        OPERATOR,
+        SERVERS,
+        State, //
+    },
+};
+use base64::{
+    Engine,
+    prelude::BASE64_STANDARD as BASE64, //
+};
+use hyper::{
+    HeaderMap,
+    Method,
+    StatusCode,
+    http::request::Parts, //
+};
+use serde_json::{
+    Value,
+    json as object, //
+};
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+use tokio::time::sleep;
+
+/// Time between two looks at a log that a reader waits for.
+const POLL: Duration = Duration::from_millis(3);
+
+/// Gives access to the state; a panic elsewhere fails the test anyway.
+pub(super) fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Answers a request to the log or the host service.
+pub(super) async fn serve(state: &Mutex<State>, head: &Parts, body: &[u8]) -> Answer {
+    let query = query(head.uri.query());
+    match (&head.method, head.uri.path()) {
+        (&Method::POST, "/log-append") => append(state, &query, body),
+        (&Method::GET, "/log-read") => read(state, &query).await,
+        (&Method::GET, "/log-newest") => newest(state, &query),
+        (&Method::GET, "/machines") => json(StatusCode::OK, &lock(state).machines()),
+        (&Method::POST, "/machine-move" | "/machine-upkeep") => {
+            touch(state, head.uri.path(), &head.headers, body)
+        }
+        _ => json(StatusCode::NOT_FOUND, &object!({})),
+    }
+}
+
+fn append(state: &Mutex<State>, query: &HashMap<String, String>, body: &[u8]) -> Answer {
+    let Some(topic) = query.get("topic") else {
+        return json(StatusCode::BAD_REQUEST, &object!({}));
+    };
+    if topic == OPERATOR || topic == SERVERS {
+        return json(StatusCode::FORBIDDEN, &object!({}));
+    }
+    let Some(records) = records(body) else {
+        return json(StatusCode::BAD_REQUEST, &object!({}));
+    };
+    let producer = query.get("producer").map(|name| Producer {
+        name: name.clone(),
+        epoch: number(query, "epoch").unwrap_or_default(),
+        sequence: number(query, "seq").unwrap_or_default(),
+    });
+    let at = number(query, "at");
+    match lock(state).log.append(topic, producer.as_ref(), at, records) {
+        Ok(appended) => json(
+            StatusCode::OK,
+            &object!({ "offset": appended.offset, "end": appended.end }),
+        ),
+        Err(Rejected::Fenced) => json(StatusCode::CONFLICT, &object!({ "reason": "fenced" })),
+        Err(Rejected::Sequence(expected)) => json(
+            StatusCode::CONFLICT,
+            &object!({ "reason": "seq", "expected": expected }),
+        ),
+        Err(Rejected::End(end)) => {
+            json(StatusCode::PRECONDITION_FAILED, &object!({ "end": end }))
+        }
+    }
+}
+
+/// Reads keyed records: a length of four bytes, the length of the key in one byte, the key, the value.
+fn records(body: &[u8]) -> Option<Vec<(String, Vec<u8>)>> {
+    let mut rest = body;
+    let mut records = Vec::new();
+    while !rest.is_empty() {
+        let (length, tail) = rest.split_at_checked(4)?;
+        let length = u32::from_be_bytes(length.try_into().ok()?) as usize;
+        let (record, tail) = tail.split_at_checked(length)?;
+        rest = tail;
+        let (&key, record) = record.split_first()?;
+        let (key, value) = record.split_at_checked(usize::from(key))?;
+        records.push((String::from_utf8(key.to_vec()).ok()?, value.to_vec()));
+    }
+    Some(records)
+}
+
+async fn read(state: &Mutex<State>, query: &HashMap<String, String>) -> Answer {
+    let topic = query.get("topic").cloned().unwrap_or_default();
+    let from = number(query, "from").unwrap_or_default();
+    let wait = Duration::from_millis(number(query, "waitMs").unwrap_or_default());
+    let begun = Instant::now();
+    loop {
+        match lock(state).log.read(&topic, from) {
+            Err(first) => return json(StatusCode::GONE, &object!({ "first": first })),
+            Ok((end, records)) if !records.is_empty() || begun.elapsed() >= wait => {
+                let mut body = Vec::new();
+                body.extend_from_slice(&end.to_be_bytes());
+                body.extend_from_slice(&0_u64.to_be_bytes());
+                for (key, value) in records {
+                    let length = 1 + key.len() + value.len();
+                    body.extend_from_slice(&(length as u32).to_be_bytes());
+                    body.push(key.len() as u8);
+                    body.extend_from_slice(key.as_bytes());
+                    body.extend_from_slice(&value);
+                }
+                return raw(StatusCode::OK, body);
+            }
+            Ok(_) => {}
+        }
+        sleep(POLL).await;
+    }
+}
+
+fn newest(state: &Mutex<State>, query: &HashMap<String, String>) -> Answer {
+    let topic = query.get("topic").cloned().unwrap_or_default();
+    let (end, rows) = lock(state).log.newest(&topic);
+    let item = |(offset, key, value): (u64, String, Vec<u8>)| {
+        object!({ "key": key, "value": BASE64.encode(&value), "offset": offset })
+    };
+    let items: Vec<Value> = rows.into_iter().map(item).collect();
+    json(
+        StatusCode::OK,
+        &object!({ "items": items, "hasMore": false, "end": end }),
+    )
+}
+
+fn touch(state: &Mutex<State>, path: &str, headers: &HeaderMap, body: &[u8]) -> Answer {
+    let body: Value = serde_json::from_slice(body).unwrap_or_default();
+    let Some(host) = body["machine"].as_str() else {
+        return json(StatusCode::BAD_REQUEST, &object!({}));
+    };
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let holder = text("x-sassafrascrank-lease-holder").unwrap_or_default();
+    let token = text("x-sassafrascrank-fencing-token").and_then(|token| token.parse().ok());
+    let by = (holder, token.unwrap_or_default());
+    let mut state = lock(state);
+    let now = state.now();
+    let pool = body["pool"].as_str().unwrap_or_default();
+    let known = state.hosts.hosts.get(host).map(|host| host.phase);
+    let done = match path {
+        "/machine-move" => state.hosts.relocate(host, pool, by, now),
+        _ => {
+            let wave = body["wave"].as_u64().unwrap_or_default();
+            state.hosts.maintain(host, wave, by, now)
+        }
+    };
+    let changed = state.hosts.hosts.get(host).map(|host| host.phase) != known;
+    match done {
+        None => json(StatusCode::BAD_REQUEST, &object!({})),
+        Some(false) => json(StatusCode::CONFLICT, &object!({ "reason": "busy" })),
+        Some(true) => {
+            if changed {
+                state.end_life(host);
+            }
+            json(StatusCode::OK, &object!({}))
+        }
+    }
+}
