--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -76,9 +76,9 @@
     /// Response time in milliseconds that runners show for their tasks.
     pub load: BTreeMap<String, u64>,
     /// How long each task works; `None` for tasks that last.
-    pub work: fn(&sassafrascrank_job::id::Task) -> Option<Duration>,
+    pub work: fn(&Task) -> Option<Duration>,
     /// Tasks whose attempts fail.
-    pub fails: fn(&sassafrascrank_job::id::Task, u32, &str) -> bool,
+    pub fails: fn(&Task, u32, &str) -> bool,
     /// The latest progress of each job, as the log would hold it.
     pub log: BTreeMap<Id, Arc<Progress>>,
     /// Waves whose state was published.
@@ -90,10 +90,23 @@
 impl Rig {
     /// Makes a rig with runners in one pool, `racks` of them to a rack.
     pub fn new(runners: usize, racks: usize) -> Self {
+        Self::build(runners, racks, &[])
+    }
+
+    /// Makes a rig whose former leader ordered hosts so many milliseconds ago.
+    pub fn with_ordered(runners: usize, hosts: &[(&str, u64)]) -> Self {
+        Self::build(runners, 1, hosts)
+    }
+
+    fn build(runners: usize, racks: usize, ordered: &[(&str, u64)]) -> Self {
+        let row = |(host, ago): &(&str, u64)| {
+            let at = EPOCH - Duration::from_millis(*ago);
+            (Arc::from(*host), at)
+        };
         let succession = Succession {
             epoch: 7,
             runs_until: Time::MIN,
-            hosts: Default::default(),
+            hosts: ordered.iter().map(row).collect(),
         };
         let engine = Engine::new(Rules::default(), succession, &config(), EPOCH);
         let mut rig = Self {
@@ -526,7 +539,7 @@
     }
 }
 
-fn short(task: &sassafrascrank_job::id::Task) -> String {
+fn short(task: &Task) -> String {
     let position = task.position;
     format!(
         "{:x}.{}.{}.{}",
@@ -559,9 +572,7 @@
 }
 
 fn view(worker: &Worker, load: &BTreeMap<String, u64>, now: Duration) -> View {
-    let task = |name: &str| {
-        sassafrascrank_job::id::Task::try_from(name).expect("the worker keeps names as they are")
-    };
+    let task = |name: &str| Task::try_from(name).expect("the worker keeps names as they are");
     // A task that lasts is at work half a second after its start.
     let at_work = |began: Duration| now >= began + Duration::from_millis(500);
     let running = worker.runs.iter().map(|run| Running {
--- a/crates/standin/src/cluster/cluster.rs
+++ b/crates/standin/src/cluster/cluster.rs
@@ -1,8 +1,7 @@
 //! The services of a cluster on loopback addresses.
 
 use super::{
-    Interval,
-    Plan,
+    Interval, Plan,
     answer::Answer,
     runner,
     service::{
--- a/crates/standin/src/cluster/runner.rs
+++ b/crates/standin/src/cluster/runner.rs
@@ -1,9 +1,7 @@
 //! Runners over HTTP.
 
 use super::{
-    Refused,
-    Start,
-    Worker,
+    Refused, Start, Worker,
     answer::{
         Answer,
         json, //
@@ -45,7 +43,10 @@
         {
             let mut state = lock(state);
             let now = state.now();
-            let worker = state.sites.get_mut(host).and_then(|site| site.worker.as_mut());
+            let worker = state
+                .sites
+                .get_mut(host)
+                .and_then(|site| site.worker.as_mut());
             let Some(worker) = worker.filter(|worker| worker.id == expected) else {
                 return json(StatusCode::MISDIRECTED_REQUEST, &object!({}));
             };
@@ -67,7 +68,9 @@
         "/run-start" => {
             let text = body["spec"].as_str().unwrap_or_default();
             let millis = text.split(' ').find_map(|word| word.strip_prefix("work="));
-            let millis = millis.and_then(|millis| millis.parse().ok()).unwrap_or(WORK);
+            let millis = millis
+                .and_then(|millis| millis.parse().ok())
+                .unwrap_or(WORK);
             let start = Start {
                 task: task.to_owned(),
                 attempt,
--- a/crates/standin/src/cluster/service.rs
+++ b/crates/standin/src/cluster/service.rs
@@ -1,8 +1,7 @@
 //! The log and the host service over HTTP.
 
 use super::{
-    Producer,
-    Rejected,
+    Producer, Rejected,
     answer::{
         Answer,
         json,
@@ -83,7 +82,10 @@
         sequence: number(query, "seq").unwrap_or_default(),
     });
     let at = number(query, "at");
-    match lock(state).log.append(topic, producer.as_ref(), at, records) {
+    match lock(state)
+        .log
+        .append(topic, producer.as_ref(), at, records)
+    {
         Ok(appended) => json(
             StatusCode::OK,
             &object!({ "offset": appended.offset, "end": appended.end }),
@@ -93,9 +95,7 @@
             StatusCode::CONFLICT,
             &object!({ "reason": "seq", "expected": expected }),
         ),
-        Err(Rejected::End(end)) => {
-            json(StatusCode::PRECONDITION_FAILED, &object!({ "end": end }))
-        }
+        Err(Rejected::End(end)) => json(StatusCode::PRECONDITION_FAILED, &object!({ "end": end })),
     }
 }
 
@@ -145,9 +145,7 @@
 fn newest(state: &Mutex<State>, query: &HashMap<String, String>) -> Answer {
     let topic = query.get("topic").cloned().unwrap_or_default();
     let (end, rows) = lock(state).log.newest(&topic);
-    let item = |(offset, key, value): (u64, String, Vec<u8>)| {
-        object!({ "key": key, "value": BASE64.encode(&value), "offset": offset })
-    };
+    let item = |(offset, key, value): (u64, String, Vec<u8>)| object!({ "key": key, "value": BASE64.encode(&value), "offset": offset });
     let items: Vec<Value> = rows.into_iter().map(item).collect();
     json(
         StatusCode::OK,
--- a/crates/standin/src/cluster/state.rs
+++ b/crates/standin/src/cluster/state.rs
@@ -219,9 +219,7 @@
                 "stretch": 1.6,
             })
         };
-        let service = |pool: &Pool| {
-            json!({ "name": pool.name, "admissionCheck": false, "standby": pool.standby })
-        };
+        let service = |pool: &Pool| json!({ "name": pool.name, "admissionCheck": false, "standby": pool.standby });
         let routes: Vec<_> = self.plan.queues.iter().map(route).collect();
         let services: Vec<_> = self.plan.pools.iter().map(service).collect();
         let config = json!({
