--- a/crates/control/src/port/mod.rs
+++ b/crates/control/src/port/mod.rs
@@ -25,7 +25,6 @@
 };
 pub use runners::{
     Answer,
-    Approval,
     Runners, //
 };
 
--- a/crates/control/src/port/runners.rs
+++ b/crates/control/src/port/runners.rs
@@ -1,11 +1,11 @@
 //! Orders to runners.
 
 use core::future::Future;
-use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::id::Task;
 use sassafrascrank_schedule::order::{
     Look, Pace, Start, Stop,
     report::{
+        Approval,
         Failure,
         View, //
     },
@@ -15,9 +15,6 @@
 /// The runner's clock in milliseconds, if it was shown, and what came of the order.
 pub type Answer<T> = (Option<u64>, Result<T, Failure>);
 
-/// Runners that may run a step, with their tickets, and how long these are valid.
-pub type Approval = (Vec<(Arc<str>, Arc<str>)>, Duration);
-
 /// Orders to runners, and questions to the advice service.
 pub trait Runners: 'static {
     /// Starts an attempt.
--- a/crates/control/src/process/process.rs
+++ b/crates/control/src/process/process.rs
@@ -37,6 +37,7 @@
 use sassafrascrank_trace::{
     Event,
     Setup,
+    Source,
     sink, //
 };
 use spdlog::Logger;
@@ -104,14 +105,11 @@
         platform: P,
         logger: Arc<Logger>,
     ) -> Result<Self, Error> {
-        let callers = listen(settings.callers)?;
-        let readiness = listen(settings.readiness)?;
         let metrics = settings.metrics.map(listen).transpose()?;
         let clock = Clock::new();
         let born = wall().as_micros();
-        let (wake, trace_wake) = (Signal::new(), Signal::new());
-        let (front_signal, store_signal, drive_signal) =
-            (Signal::new(), Signal::new(), Signal::new());
+        let [wake, trace_wake, front_signal, store_signal, drive_signal] =
+            [(); 5].map(|()| Signal::new());
         let (call_sender, calls) = ring(CALLS, &wake);
         let (event_sender, events) = ring(EVENTS, &wake);
         let (report_sender, reports) = ring(ORDERS, &wake);
@@ -121,23 +119,21 @@
         let (front_sink, front_source) = sink("front", TRACES, &trace_wake);
         let (mut control_sink, control_source) = sink("control", TRACES, &trace_wake);
         control_sink.record(Event::new("start", clock.now()));
-        let stop = Arc::new(AtomicBool::new(false));
-        let trace_stop = Arc::new(AtomicBool::new(false));
+        let [stop, trace_stop] = [(); 2].map(|()| Arc::new(AtomicBool::new(false)));
 
-        let setup = Setup {
+        let trace = Trace {
             process: Arc::clone(&settings.name),
             sources: vec![front_source, control_source],
-            signal: trace_wake.clone(),
-            clock: move || clock.now(),
-            logger,
-            listener: metrics,
+            wake: trace_wake.clone(),
             stop: Arc::clone(&trace_stop),
+            metrics,
+            logger,
         };
-        let trace = start("observe", move || sassafrascrank_trace::run(setup))?;
+        let trace = trace.start(clock)?;
         let front = Front {
             platform: platform.clone(),
-            callers,
-            readiness,
+            callers: listen(settings.callers)?,
+            readiness: listen(settings.readiness)?,
             requests: call_sender,
             notices,
             signal: front_signal,
@@ -213,6 +209,34 @@
     }
 }
 
+/// What the thread for logs and metrics needs.
+struct Trace {
+    process: Arc<str>,
+    sources: Vec<Source>,
+    wake: Signal,
+    stop: Arc<AtomicBool>,
+    metrics: Option<TcpListener>,
+    logger: Arc<Logger>,
+}
+
+impl Trace {
+    fn start(
+        self,
+        clock: Clock,
+    ) -> Result<JoinHandle<Result<(), sassafrascrank_trace::Error>>, Error> {
+        let setup = Setup {
+            process: self.process,
+            sources: self.sources,
+            signal: self.wake,
+            clock: move || clock.now(),
+            logger: self.logger,
+            listener: self.metrics,
+            stop: self.stop,
+        };
+        start("observe", move || sassafrascrank_trace::run(setup))
+    }
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     let listener = TcpListener::bind(address).map_err(|error| Error::Listen(address, error))?;
     listener
--- a/crates/control/src/store/store.rs
+++ b/crates/control/src/store/store.rs
@@ -72,99 +72,118 @@
     pub pace: Duration,
 }
 
+/// What requests act on.
+struct Lanes<P> {
+    platform: P,
+    clock: Clock,
+    jobs: Rc<Control>,
+    runners: Rc<Control>,
+    accepts: Rc<Queue<Accept>>,
+    writes: Rc<Queue<Write>>,
+    /// Epoch that leads, 0 for none.
+    epoch: Rc<Cell<u64>>,
+}
+
 /// Runs until the requests end. It needs a local task set.
-pub async fn run<P: Platform>(mut store: Store<P>) {
-    let outlet = Outlet::new(store.events);
-    let jobs = Control::new(true, store.pace, JOBS_WAIT);
-    let operator = Control::new(true, Duration::ZERO, OPERATOR_WAIT);
-    let runners = Control::new(false, RUNNERS_PACE, RUNNERS_WAIT);
-    let topics = [
-        (Topic::Jobs, &jobs),
-        (Topic::Operator, &operator),
-        (Topic::Runners, &runners),
-    ];
-    for (topic, control) in topics {
-        spawn_local(tail::follow(
-            store.platform.log(),
-            topic,
-            Rc::clone(control),
-            store.clock,
-            outlet.clone(),
-        ));
-    }
-    let accepts = Queue::new();
-    let writes = Queue::new();
-    let epoch = Rc::new(Cell::new(0));
+pub async fn run<P: Platform>(store: Store<P>) {
+    let mut requests = store.requests;
+    let signal = store.signal;
+    let lanes = Lanes {
+        jobs: Control::new(true, store.pace, JOBS_WAIT),
+        runners: Control::new(false, RUNNERS_PACE, RUNNERS_WAIT),
+        accepts: Queue::new(),
+        writes: Queue::new(),
+        epoch: Rc::new(Cell::new(0)),
+        platform: store.platform,
+        clock: store.clock,
+    };
     let producer = Producer {
         name: Arc::clone(&store.name),
         epoch: store.born,
         sequence: 0,
     };
-    spawn_local(append::accept(
-        store.platform.log(),
-        producer,
-        Rc::clone(&accepts),
-        store.clock,
-        outlet.clone(),
-    ));
-    spawn_local(append::write(
-        store.platform.log(),
-        Rc::clone(&writes),
-        Rc::clone(&epoch),
-        store.clock,
-        outlet.clone(),
-    ));
+    lanes.start(producer, &Outlet::new(store.events));
     loop {
-        let ready = || !store.requests.is_empty() || store.requests.is_closed();
-        store.signal.wait(ready).await;
-        while let Some(request) = store.requests.try_recv() {
-            match request {
-                Request::Accept { token, record } => accepts.push(Accept {
-                    token,
-                    record,
-                    since: store.clock.now(),
-                }),
-                Request::Lead {
-                    epoch: claimed,
-                    record,
-                } => {
-                    epoch.set(claimed);
-                    writes.clear();
-                    let records = vec![record];
-                    writes.push(Write {
-                        epoch: claimed,
-                        records,
-                    });
-                }
-                Request::Write(records) => writes.push(Write {
-                    epoch: epoch.get(),
-                    records,
-                }),
-                Request::Abandon => {
-                    epoch.set(0);
-                    writes.clear();
-                }
-                Request::Pace {
-                    jobs: pace,
-                    runners: enabled,
-                } => {
-                    jobs.pace.set(pace);
-                    runners.enabled.set(enabled);
-                    jobs.wake.notify_one();
-                    runners.wake.notify_one();
-                }
-                Request::Refresh => jobs.wake.notify_one(),
-                Request::Announce { wave, done } => {
-                    spawn_local(announce(store.platform.log(), wave, done));
-                }
-            }
+        let ready = || !requests.is_empty() || requests.is_closed();
+        signal.wait(ready).await;
+        while let Some(request) = requests.try_recv() {
+            lanes.take(request);
         }
-        if store.requests.is_closed() {
+        if requests.is_closed() {
             return;
         }
     }
 }
 
+impl<P: Platform> Lanes<P> {
+    /// Starts the tasks that read and append.
+    fn start(&self, producer: Producer, outlet: &Outlet) {
+        let operator = Control::new(true, Duration::ZERO, OPERATOR_WAIT);
+        let topics = [
+            (Topic::Jobs, &self.jobs),
+            (Topic::Operator, &operator),
+            (Topic::Runners, &self.runners),
+        ];
+        for (topic, control) in topics {
+            spawn_local(tail::follow(
+                self.platform.log(),
+                topic,
+                Rc::clone(control),
+                self.clock,
+                outlet.clone(),
+            ));
+        }
+        spawn_local(append::accept(
+            self.platform.log(),
+            producer,
+            Rc::clone(&self.accepts),
+            self.clock,
+            outlet.clone(),
+        ));
+        spawn_local(append::write(
+            self.platform.log(),
+            Rc::clone(&self.writes),
+            Rc::clone(&self.epoch),
+            self.clock,
+            outlet.clone(),
+        ));
+    }
+
+    fn take(&self, request: Request) {
+        match request {
+            Request::Accept { token, record } => self.accepts.push(Accept {
+                token,
+                record,
+                since: self.clock.now(),
+            }),
+            Request::Lead { epoch, record } => {
+                self.epoch.set(epoch);
+                self.writes.clear();
+                let records = vec![record];
+                self.writes.push(Write { epoch, records });
+            }
+            Request::Write(records) => self.writes.push(Write {
+                epoch: self.epoch.get(),
+                records,
+            }),
+            Request::Abandon => {
+                self.epoch.set(0);
+                self.writes.clear();
+            }
+            Request::Pace { jobs, runners } => {
+                self.jobs.pace.set(jobs);
+                self.runners.enabled.set(runners);
+                self.jobs.wake.notify_one();
+                self.runners.wake.notify_one();
+            }
+            Request::Refresh => self.jobs.wake.notify_one(),
+            Request::Announce { wave, done } => {
+                spawn_local(announce(self.platform.log(), wave, done));
+            }
+        }
+    }
+}
+
 /// Publishes the state of a wave, and tries again until that succeeds. The state "done" follows "running", so that a
 /// late try of the latter would be wrong; it is given up after one failure.
 async fn announce<L: Log>(mut log: L, wave: u64, done: bool) {
--- a/crates/schedule/src/engine/advice.rs
+++ b/crates/schedule/src/engine/advice.rs
@@ -2,7 +2,10 @@
 
 use super::Engine;
 use crate::{
-    order::Order,
+    order::{
+        Order,
+        report::Approval, //
+    },
     runner,
     work::StepKey, //
 };
@@ -82,16 +85,11 @@
     }
 
     /// Takes the answer of the advice service.
-    pub(super) fn take_advice(
-        &mut self,
-        step: StepKey,
-        approved: Option<(Vec<(Arc<str>, Arc<str>)>, Duration)>,
-        now: Time,
-    ) {
-        let rows = approved.map(|(rows, valid)| {
-            let known = rows.into_iter().filter_map(|(id, ticket)| {
+    pub(super) fn take_advice(&mut self, step: StepKey, approved: Option<Approval>, now: Time) {
+        let rows = approved.map(|approval| {
+            let known = approval.tickets.into_iter().filter_map(|(id, ticket)| {
                 let key = *self.runner_index.get(&id)?;
-                Some((key, ticket, now + valid))
+                Some((key, ticket, now + approval.valid))
             });
             known.collect::<Vec<_>>()
         });
--- a/crates/schedule/src/order/report.rs
+++ b/crates/schedule/src/order/report.rs
@@ -140,6 +140,15 @@
     pub result: Result<T, Failure>,
 }
 
+/// Runners that may run a step.
+#[derive(Clone, Debug)]
+pub struct Approval {
+    /// Identity of each runner, and its ticket.
+    pub tickets: Vec<(Arc<str>, Arc<str>)>,
+    /// How long the tickets are valid.
+    pub valid: Duration,
+}
+
 /// What came of an order.
 #[derive(Clone, Debug)]
 pub enum Report {
@@ -182,7 +191,7 @@
         /// The step.
         step: work::StepKey,
         /// Runners that may run the step, with their tickets, and how long these are valid.
-        approved: Option<(Vec<(Arc<str>, Arc<str>)>, Duration)>,
+        approved: Option<Approval>,
     },
     /// The hosts, or `None` if they can't be had.
     Hosts(Option<Vec<host::Listed>>),
--- a/crates/schedule/tests/cancel.rs
+++ b/crates/schedule/tests/engine/cancel.rs
@@ -1,8 +1,6 @@
 //! Cancelled jobs.
 
-mod common;
-
-use common::{
+use crate::rig::{
     Rig,
     step, //
 };
--- a/crates/schedule/tests/evict.rs
+++ b/crates/schedule/tests/engine/evict.rs
@@ -1,8 +1,6 @@
 //! Lasting tasks at runners that leave and on hosts that are maintained.
 
-mod common;
-
-use common::{
+use crate::rig::{
     Rig,
     step, //
 };
--- a/crates/schedule/tests/fail.rs
+++ b/crates/schedule/tests/engine/fail.rs
@@ -1,8 +1,6 @@
 //! Tasks and runners that fail.
 
-mod common;
-
-use common::{
+use crate::rig::{
     Rig,
     step, //
 };
--- a/crates/schedule/tests/lease.rs
+++ b/crates/schedule/tests/engine/lease.rs
@@ -1,8 +1,6 @@
 //! Leases of runs at runners that don't answer.
 
-mod common;
-
-use common::{
+use crate::rig::{
     Rig,
     step, //
 };
--- /dev/null
+++ b/crates/schedule/tests/engine/main.rs
@@ -0,0 +1,9 @@
+//! Decisions of the engine, with runners and hosts that carry out its orders in virtual time.
+
+mod cancel;
+mod evict;
+mod fail;
+mod lease;
+mod pace;
+mod place;
+mod rig;
--- a/crates/schedule/tests/pace.rs
+++ b/crates/schedule/tests/engine/pace.rs
@@ -1,8 +1,6 @@
 //! Tasks that fill beside tasks that serve.
 
-mod common;
-
-use common::{
+use crate::rig::{
     Rig,
     step, //
 };
--- a/crates/schedule/tests/place.rs
+++ b/crates/schedule/tests/engine/place.rs
@@ -1,8 +1,6 @@
 //! Choice of runners.
 
-mod common;
-
-use common::{
+use crate::rig::{
     ROOM,
     Rig,
     job,
@@ -128,7 +126,7 @@
     let repeated = Job {
         repeat: Some(Repeat {
             count: 3,
-            first: common::EPOCH + Duration::from_millis(500),
+            first: crate::rig::EPOCH + Duration::from_millis(500),
             period: Duration::from_millis(400),
         }),
         ..job(1, vec![step(1)])
--- /dev/null
+++ b/crates/schedule/tests/engine/rig/carry.rs
@@ -0,0 +1,258 @@
+//! What runners, hosts and the advice service make of an order.
+
+use super::{
+    Rig,
+    fixture::EPOCH, //
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::id::Task;
+use sassafrascrank_schedule::{
+    fleet::host,
+    order::{
+        self, Order, Target,
+        report::{
+            Answer,
+            Approval,
+            Ended,
+            Failure,
+            How,
+            Report,
+            Running,
+            View, //
+        },
+    },
+    work::StepKey,
+};
+use sassafrascrank_standin::cluster::{
+    Refused,
+    Start,
+    Worker, //
+};
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+impl Rig {
+    /// Carries out an order and reports what came of it.
+    pub(super) fn carry_out(&mut self, order: Order) {
+        let now = self.now;
+        let report = match order {
+            Order::Start(start) => self.start(&start),
+            Order::Stop(stop) => self.stop(&stop),
+            Order::Look(look) => self.look(&look),
+            Order::Pace(pace) => self.pace(&pace),
+            Order::Advise { step, runners, .. } => self.advise(step, runners),
+            Order::Hosts => Report::Hosts(Some(self.list_hosts())),
+            Order::Move {
+                host, name, pool, ..
+            } => {
+                let moved = self.hosts.relocate(&name, &pool, ("leader", 7), now);
+                self.mark(&format!("move {name} to {pool} -> {moved:?}"));
+                self.touch(&name, Some(&pool));
+                Report::Host {
+                    host,
+                    outcome: outcome(moved),
+                }
+            }
+            Order::Maintain {
+                host, name, wave, ..
+            } => {
+                let begun = self.hosts.maintain(&name, wave, ("leader", 7), now);
+                self.mark(&format!("maintain {name} -> {begun:?}"));
+                self.touch(&name, None);
+                Report::Host {
+                    host,
+                    outcome: outcome(begun),
+                }
+            }
+            Order::Announce { wave, done } => {
+                self.announced.push((wave, done));
+                return;
+            }
+        };
+        self.engine.report(report, EPOCH + now);
+    }
+
+    fn start(&mut self, start: &order::Start) -> Report {
+        let now = self.now;
+        let order = Start {
+            task: start.task.to_string(),
+            attempt: start.attempt,
+            until: start.until,
+            fence: start.target.fence,
+            work: (self.work)(&start.task),
+            fails: (self.fails)(&start.task, start.attempt, &start.target.id),
+        };
+        let answer = self.ask(&start.target, |worker| {
+            worker.start(order, now).map_err(failure)
+        });
+        self.mark_run("start", &start.task, start.attempt, &start.target, &answer);
+        Report::Start {
+            run: start.run,
+            answer,
+        }
+    }
+
+    fn stop(&mut self, stop: &order::Stop) -> Report {
+        let now = self.now;
+        let task = stop.task.to_string();
+        let answer = self.ask(&stop.target, |worker| {
+            let fence = stop.target.fence;
+            worker
+                .stop(&task, stop.attempt, fence, now)
+                .map_err(failure)
+        });
+        self.mark_run("stop", &stop.task, stop.attempt, &stop.target, &answer);
+        Report::Stop {
+            run: stop.run,
+            runner: stop.target.runner,
+            answer,
+        }
+    }
+
+    fn look(&mut self, look: &order::Look) -> Report {
+        let now = self.now;
+        let load = self.load.clone();
+        let answer = self.ask(&look.target, |worker| {
+            let fence = look.target.fence;
+            let held = worker.hold(look.until, fence, look.acknowledged, now);
+            held.map(|()| view(worker, &load, now)).map_err(failure)
+        });
+        Report::Look {
+            runner: look.target.runner,
+            acknowledged: look.acknowledged,
+            answer,
+        }
+    }
+
+    fn pace(&mut self, pace: &order::Pace) -> Report {
+        let text = format!(
+            "pace {}#{} at {} to {}",
+            short(&pace.task),
+            pace.attempt,
+            pace.target.id,
+            pace.percent
+        );
+        self.mark(&text);
+        Report::Pace {
+            run: pace.run,
+            percent: pace.percent,
+            answer: Answer {
+                sent: self.time(),
+                clock: None,
+                result: Ok(()),
+            },
+        }
+    }
+
+    /// Approves every second runner.
+    fn advise(&mut self, step: StepKey, runners: Vec<Arc<str>>) -> Report {
+        self.mark(&format!("ask about {} runners", runners.len()));
+        let rows = runners.into_iter().step_by(2);
+        let rows = rows.map(|id| (Arc::clone(&id), Arc::from(format!("ticket-{id}"))));
+        Report::Advice {
+            step,
+            approved: Some(Approval {
+                tickets: rows.collect(),
+                valid: Duration::from_secs(3),
+            }),
+        }
+    }
+
+    fn ask<T>(
+        &mut self,
+        target: &Target,
+        act: impl FnOnce(&mut Worker) -> Result<T, Failure>,
+    ) -> Answer<T> {
+        let sent = self.time();
+        let (clock, result) = match self.sites.get_mut(&*target.id) {
+            _ if self.cut.contains(&*target.id) => (None, Err(Failure::Unknown)),
+            Some(site) => {
+                let result = act(&mut site.worker);
+                (Some(site.worker.clock(self.now)), result)
+            }
+            None => (None, Err(Failure::Replaced)),
+        };
+        Answer {
+            sent,
+            clock,
+            result,
+        }
+    }
+
+    fn mark_run(
+        &mut self,
+        verb: &str,
+        task: &Task,
+        attempt: u32,
+        target: &Target,
+        answer: &Answer<()>,
+    ) {
+        let word = match &answer.result {
+            Ok(()) => "ok",
+            Err(failure) => failure.as_str(),
+        };
+        let id = &target.id;
+        self.mark(&format!(
+            "{verb} {}#{attempt} at {id} -> {word}",
+            short(task)
+        ));
+    }
+}
+
+fn short(task: &Task) -> String {
+    let position = task.position;
+    format!(
+        "{:x}.{}.{}.{}",
+        task.job.0, position.occurrence, position.step, position.index
+    )
+}
+
+fn failure(refused: Refused) -> Failure {
+    match refused {
+        Refused::Fence => Failure::Fenced,
+        Refused::Old => Failure::Old,
+        Refused::Late => Failure::Late,
+        Refused::Room => Failure::Room,
+    }
+}
+
+fn outcome(done: Option<bool>) -> host::Outcome {
+    match done {
+        Some(true) => host::Outcome::Done,
+        Some(false) => host::Outcome::Busy,
+        None => host::Outcome::Rejected,
+    }
+}
+
+fn view(worker: &Worker, load: &BTreeMap<String, u64>, now: Duration) -> View {
+    let task = |name: &str| Task::try_from(name).expect("the worker keeps names as they are");
+    // A task that lasts is at work half a second after its start.
+    let at_work = |began: Duration| now >= began + Duration::from_millis(500);
+    let running = worker.runs.iter().map(|run| Running {
+        task: task(&run.task),
+        attempt: run.attempt,
+        checkpoint: None,
+        percent: if at_work(run.began) { 100 } else { 0 },
+        load: load.get(&run.task).copied().unwrap_or_default(),
+    });
+    let ended = worker.ends.iter().map(|end| Ended {
+        number: end.number,
+        task: task(&end.task),
+        attempt: end.attempt,
+        how: match end.how {
+            "done" => How::Done,
+            "failed" => How::Failed,
+            "lapsed" => How::Lapsed,
+            _ => How::Stopped,
+        },
+        checkpoint: None,
+    });
+    View {
+        born: Some(worker.born),
+        running: running.collect(),
+        ended: ended.collect(),
+        truncated: false,
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/engine/rig/fixture.rs
@@ -0,0 +1,84 @@
+//! Configuration, jobs and steps of the tests.
+
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::prelude::*;
+use sassafrascrank_schedule::config::{
+    self,
+    Config, //
+};
+
+/// Start of each test as a time of day.
+pub(crate) const EPOCH: Time = Time::from_millis(1_700_000_000_000);
+/// Tasks that a runner holds at once.
+pub(crate) const ROOM: u64 = 4;
+
+/// Returns the configuration of all tests: a pool, another one, and one whose hosts are switched off.
+pub(crate) fn config() -> Config {
+    let pool = |name: &str, standby| config::Pool {
+        name: name.into(),
+        guarded: false,
+        standby,
+    };
+    let queue = |name: &str, pool: &str, priority, advised| config::Queue {
+        name: name.into(),
+        host: "h".into(),
+        path: format!("/{name}/").into(),
+        terms: Terms {
+            priority,
+            ..terms(pool)
+        },
+        advised,
+    };
+    Config {
+        version: 1,
+        queues: vec![
+            queue("orders", "pool", 1, false),
+            queue("urgent", "pool", 0, false),
+            queue("advised", "pool", 1, true),
+            queue("others", "other", 1, false),
+        ],
+        pools: vec![
+            pool("pool", false),
+            pool("other", false),
+            pool("standby", true),
+        ],
+    }
+}
+
+/// Returns the terms of a queue of a pool.
+pub(crate) fn terms(pool: &str) -> Terms {
+    Terms {
+        pool: pool.into(),
+        priority: 1,
+        attempts: 2,
+        stretch: 1_600,
+        target: Duration::from_millis(600),
+    }
+}
+
+/// Returns a job of the queue `orders`.
+pub(crate) fn job(id: u64, steps: Vec<Step>) -> Job {
+    Job {
+        id: Id(id),
+        queue: "orders".into(),
+        terms: terms("pool"),
+        specification: "text".into(),
+        steps: steps.into(),
+        repeat: None,
+        submitted: EPOCH,
+    }
+}
+
+/// Returns a step of tasks that take one core each.
+pub(crate) fn step(count: u16) -> Step {
+    Step {
+        count,
+        need: Resource {
+            cpu: 1_000,
+            memory: 100,
+            gpu: 0,
+        },
+        estimate: Duration::from_millis(300),
+        ..Step::default()
+    }
+}
--- a/crates/standin/src/cluster/log.rs
+++ b/crates/standin/src/cluster/log.rs
@@ -20,6 +20,9 @@
     pub sequence: u64,
 }
 
+/// Keys and values, an empty value drops the key.
+pub type Records = Vec<(String, Vec<u8>)>;
+
 /// Where the records of an append lie.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Appended {
@@ -78,7 +81,7 @@
         topic: &str,
         producer: Option<&Producer>,
         at: Option<u64>,
-        records: Vec<(String, Vec<u8>)>,
+        records: Records,
     ) -> Result<Appended, Rejected> {
         let topic = self.topics.entry(topic.to_owned()).or_default();
         if let Some(producer) = producer {
@@ -136,7 +139,7 @@
     /// # Errors
     ///
     /// Fails if the record at `from` is no longer retained.
-    pub fn read(&self, topic: &str, from: u64) -> Result<(u64, Vec<(String, Vec<u8>)>), u64> {
+    pub fn read(&self, topic: &str, from: u64) -> Result<(u64, Records), u64> {
         let Some(topic) = self.topics.get(topic) else {
             return Ok((0, Vec::new()));
         };
--- a/crates/standin/src/cluster/mod.rs
+++ b/crates/standin/src/cluster/mod.rs
@@ -22,6 +22,7 @@
     Appended,
     Log,
     Producer,
+    Records,
     Rejected, //
 };
 pub use state::{
