feat(schedule): late jobs wait behind those that can be in time, and claim sooner after an outage

Change: tasks rank by whether their job can still be in time; after an outage of more than a tenure a claim waits 0.7 s.

--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -288,7 +288,7 @@
                     self.seat.wait_from(now);
                 }
                 if let Some(engine) = &mut self.engine {
-                    engine.configure(&config, now);
+                    engine.configure(&config);
                 }
                 self.out
                     .notices
--- a/crates/control/src/store/append.rs
+++ b/crates/control/src/store/append.rs
@@ -44,7 +44,7 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 /// Shortest and longest time for which an answer is awaited before the append is repeated.
 const TIMEOUT_MIN: Duration = Duration::from_millis(120);
-const TIMEOUT_MAX: Duration = Duration::from_millis(1_600);
+const TIMEOUT_MAX: Duration = Duration::from_millis(1_000);
 /// Multiple of the usual time of an append after which it is repeated.
 const TIMEOUT_FACTOR: u32 = 4;
 
--- a/crates/lead/src/seat/rules.rs
+++ b/crates/lead/src/seat/rules.rs
@@ -8,6 +8,8 @@
     /// Time without a record of the leader, spent reading, after which another entry claims. It has to cover an
     /// append and a read on a log that is slow: about 0.6 s when its answers take 60 times as long.
     pub silence: Duration,
+    /// The same time after the log was away for longer than a tenure: a leader that lives appends as soon as it can.
+    pub regained: Duration,
     /// Time after the start of its last confirmed append for which a leader orders and renews leases.
     pub tenure: Duration,
     /// Time after which a leader without other records appends one.
@@ -22,6 +24,7 @@
     fn default() -> Self {
         Self {
             silence: Duration::from_millis(1_500),
+            regained: Duration::from_millis(700),
             tenure: Duration::from_millis(2_500),
             pulse: Duration::from_millis(400),
             stagger: Duration::from_millis(300),
--- a/crates/lead/src/seat/seat.rs
+++ b/crates/lead/src/seat/seat.rs
@@ -130,7 +130,8 @@
             return None;
         }
         let start = since.max(self.heard_at);
-        if now < start + self.patience() {
+        let away = since > self.heard_at + self.rules.tenure;
+        if now < start + self.patience(away) {
             return None;
         }
         let round = self.heard.map_or(0, |heard| heard.epoch >> ROUND_SHIFT) + 1;
@@ -177,8 +178,8 @@
         self.leading().is_some() && now >= self.confirmed + self.rules.pulse
     }
 
-    /// Returns the time of silence after which this entry claims.
-    fn patience(&self) -> Duration {
+    /// Returns the time of silence after which this entry claims. The log was `away` for longer than a tenure.
+    fn patience(&self, away: bool) -> Duration {
         let stagger = self
             .rules
             .stagger
@@ -188,6 +189,7 @@
             Some(heard) if heard.own_past => Duration::ZERO,
             Some(heard) if heard.resigned => stagger / 4,
             None => stagger,
+            Some(_) if away => self.rules.regained + stagger,
             Some(_) => self.rules.silence + stagger,
         }
     }
--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -9,7 +9,10 @@
         Kind,
         Note, //
     },
-    queue::Rank,
+    queue::{
+        Rank,
+        Tier, //
+    },
     work::{
         self,
         Occurrence,
@@ -29,6 +32,11 @@
 };
 use std::sync::Arc;
 
+/// Time between two looks at which jobs can still meet their objective.
+const TIER_INTERVAL: Duration = Duration::from_millis(100);
+/// Multiple of the objective after which the end of a job is worth nothing.
+const LATE_FACTOR: u32 = 3;
+
 impl Engine {
     /// Takes a job of which nothing has been ordered.
     pub fn add(&mut self, job: Arc<Job>, now: Time) {
@@ -134,6 +142,7 @@
             return;
         };
         let deadline = deadline(&work.job, queue.stretch, queue.target, found.due);
+        let tier = found.tier;
         let ready = &mut self.pools[queue.pool].ready;
         for (step, (state, shape)) in found.steps.iter().zip(work.job.steps.iter()).enumerate() {
             let class = class(queue.priority, shape);
@@ -147,6 +156,7 @@
                     };
                     ready.insert(Rank {
                         class,
+                        tier,
                         deadline,
                         task,
                     });
@@ -162,13 +172,14 @@
         let found = work.occurrence(task.occurrence)?;
         Some(Rank {
             class: class(queue.priority, work.job.steps.get(usize::from(task.step))?),
+            tier: found.tier,
             deadline: deadline(&work.job, queue.stretch, queue.target, found.due),
             task,
         })
     }
 
     /// Renews the order of all tasks that wait.
-    pub(super) fn rank_all(&mut self, _now: Time) {
+    pub(super) fn rank_all(&mut self) {
         for pool in self.pools.values_mut() {
             pool.ready.clear();
         }
@@ -186,6 +197,34 @@
         }
     }
 
+    /// Puts jobs that can't meet their objective any more behind those that can.
+    pub(super) fn renew_tiers(&mut self, now: Time) {
+        if now < self.tiered + TIER_INTERVAL {
+            return;
+        }
+        self.tiered = now;
+        let mut changed = false;
+        for work in self.works.values_mut() {
+            let queue = &self.queues[work.queue];
+            let job = Arc::clone(&work.job);
+            for found in &mut work.occurrences {
+                let left = remaining(&job, found);
+                let objective = deadline(&job, queue.stretch, queue.target, found.due);
+                let worthless = found.due + objective.since(found.due) * LATE_FACTOR;
+                let tier = match now + left {
+                    end if end <= objective => Tier::Timely,
+                    end if end <= worthless => Tier::Late,
+                    _ => Tier::Overdue,
+                };
+                changed |= tier != found.tier;
+                found.tier = tier;
+            }
+        }
+        if changed {
+            self.rank_all();
+        }
+    }
+
     /// Makes a task ready that has no run and is not done.
     pub(super) fn make_ready(&mut self, task: TaskKey) {
         let Some(work) = self.works.get_mut(task.work) else {
@@ -334,6 +373,20 @@
     }
 }
 
+/// Returns the longest chain of the caller's estimates through the steps that are not done.
+fn remaining(job: &Job, found: &Occurrence) -> Duration {
+    let mut ends = vec![Duration::ZERO; job.steps.len()];
+    for (step, shape) in job.steps.iter().enumerate() {
+        let before = shape.after.iter().map(|&after| ends[usize::from(after)]);
+        let own = match found.steps[step].left {
+            0 => Duration::ZERO,
+            _ => shape.estimate,
+        };
+        ends[step] = before.max().unwrap_or_default() + own;
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
 /// Returns the class of a step's tasks in the order of its pool.
 fn class(priority: u8, step: &Step) -> u8 {
     let later = u8::from(!step.lasting) + u8::from(step.fills);
@@ -346,7 +399,7 @@
 }
 
 /// Returns the longest chain of the caller's estimates.
-pub(super) fn chain(job: &Job) -> Duration {
+fn chain(job: &Job) -> Duration {
     let mut ends = vec![Duration::ZERO; job.steps.len()];
     for (step, shape) in job.steps.iter().enumerate() {
         let before = shape.after.iter().map(|&after| ends[usize::from(after)]);
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -87,6 +87,8 @@
     pub(super) orderable: Vec<host::Key>,
     pub(super) orders: Vec<Order>,
     pub(super) notes: Vec<Note>,
+    /// When the tiers of jobs were last renewed.
+    pub(super) tiered: Time,
     /// A runner knows a later leader.
     pub(super) deposed: bool,
 }
@@ -115,14 +117,15 @@
             orderable: Vec::new(),
             orders: Vec::new(),
             notes: Vec::new(),
+            tiered: now,
             deposed: false,
         };
-        engine.configure(config, now);
+        engine.configure(config);
         engine
     }
 
     /// Takes a version of the configuration. Queues that it lacks keep their last terms for jobs that they hold.
-    pub fn configure(&mut self, config: &Config, now: Time) {
+    pub fn configure(&mut self, config: &Config) {
         for queue in self.queues.values_mut() {
             queue.configured = false;
         }
@@ -144,7 +147,7 @@
             known.advised = queue.advised;
             known.configured = true;
         }
-        self.rank_all(now);
+        self.rank_all();
     }
 
     /// Takes the orders that have to be carried out.
--- a/crates/schedule/src/engine/tick.rs
+++ b/crates/schedule/src/engine/tick.rs
@@ -23,6 +23,7 @@
             self.evict(now);
             self.pace(now);
             self.manage_hosts(now);
+            self.renew_tiers(now);
             self.place(now);
         }
         self.look(may_order, now);
--- a/crates/schedule/src/queue/mod.rs
+++ b/crates/schedule/src/queue/mod.rs
@@ -6,7 +6,10 @@
 
 pub use pool::Pool;
 pub use queue::Queue;
-pub use rank::Rank;
+pub use rank::{
+    Rank,
+    Tier, //
+};
 
 pub mod key {
     //! Keys of queues and pools.
--- a/crates/schedule/src/work/work.rs
+++ b/crates/schedule/src/work/work.rs
@@ -5,8 +5,11 @@
     Task, //
 };
 use crate::{
-    queue::key,
-    runner, //
+    queue::{
+        Tier,
+        key, //
+    },
+    runner,
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
@@ -46,6 +49,8 @@
     pub number: u32,
     /// When its objective began.
     pub due: Time,
+    /// Whether its objective can still be met.
+    pub tier: Tier,
     /// Its steps.
     pub steps: Vec<StepState>,
     /// Tasks of all steps.
@@ -68,6 +73,7 @@
         Self {
             number,
             due,
+            tier: Tier::Timely,
             steps,
             tasks: vec![Task::default(); first],
         }
--- a/crates/schedule/tests/engine/place.rs
+++ b/crates/schedule/tests/engine/place.rs
@@ -136,3 +136,27 @@
     insta::assert_snapshot!(rig.timeline());
     assert_eq!(rig.log[&Id(1)].outcome, Some(Ending::Done));
 }
+
+/// Guards against an overload in which every job is late, because the oldest ones come first although they can't be in
+/// time any more.
+#[test]
+fn late_jobs_wait_for_those_that_can_be_in_time() {
+    let mut rig = Rig::new(1, 1);
+    rig.submit(
+        1,
+        vec![Step {
+            estimate: Duration::from_millis(50),
+            ..step(4)
+        }],
+    );
+    rig.run(60);
+    // Its objective is 1 s away; it gets no room before it has passed.
+    for id in 2..8 {
+        rig.submit(id, vec![step(4)]);
+    }
+    rig.run(1_100);
+    rig.mark("job 9");
+    rig.submit(9, vec![step(4)]);
+    rig.run(700);
+    insta::assert_snapshot!(rig.timeline());
+}
