--- a/crates/tool/src/check/place.rs
+++ b/crates/tool/src/check/place.rs
@@ -9,7 +9,7 @@
 /// Returns the line of a document with the error, and where to look.
 pub(super) fn of_document(text: &str, error: &document::Error) -> String {
     let line = show(text, error.line);
-    format!("{line}  the fields are in examples/trenzas/configuration.jsonc and docs/operations.md")
+    format!("{line}  the fields are in examples/trenzas/configuration.jsonc and docs/OPERATIONS.md")
 }
 
 /// Returns the line of a settings file with the error, and where to look.
@@ -24,7 +24,7 @@
         settings::Error::File(_) => String::new(),
     };
     format!(
-        "{line}  the fields are in examples/trenzas/entry-nicoya-1.jsonc and docs/operations.md"
+        "{line}  the fields are in examples/trenzas/entry-nicoya-1.jsonc and docs/OPERATIONS.md"
     )
 }
 
