--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -34,6 +34,9 @@
 
 /// Time between two looks at which jobs can still meet their objective.
 const TIER_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of the objective, in percent, at which a job counts as late if half of its remaining estimate does not fit. It
+/// leaves room for estimates that are far off.
+const HOPELESS: u32 = 110;
 /// Multiple of the objective after which the end of a job is worth nothing.
 const LATE_FACTOR: u32 = 3;
 
@@ -210,9 +213,11 @@
             for found in &mut work.occurrences {
                 let left = remaining(&job, found);
                 let objective = deadline(&job, queue.stretch, queue.target, found.due);
-                let worthless = found.due + objective.since(found.due) * LATE_FACTOR;
-                let tier = match now + left {
-                    end if end <= objective => Tier::Timely,
+                let span = objective.since(found.due);
+                let hopeless = found.due + span * HOPELESS / 100;
+                let worthless = found.due + span * LATE_FACTOR;
+                let tier = match now + left / 2 {
+                    end if end <= hopeless => Tier::Timely,
                     end if end <= worthless => Tier::Late,
                     _ => Tier::Overdue,
                 };
