--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -96,7 +96,7 @@
     }
 
     /// Answers questions that were asked before the read which began at `started`.
-    pub(super) fn answer_reads(&mut self, started: Time, _now: Time) {
+    pub(super) fn answer_reads(&mut self, started: Time) {
         let (answered, waiting) = core::mem::take(&mut self.calls.reads)
             .into_iter()
             .partition(|&(_, _, asked)| asked <= started);
--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -209,7 +209,7 @@
         if complete {
             self.jobs_read = true;
         }
-        self.answer_reads(started, now);
+        self.answer_reads(started);
     }
 
     /// Notes a record by a leader.
--- a/crates/control/tests/world/entry.rs
+++ b/crates/control/tests/world/entry.rs
@@ -65,7 +65,7 @@
 }
 
 impl Entry {
-    pub(super) fn new(index: usize, plan: Plan, _now: Time) -> Self {
+    pub(super) fn new(index: usize, plan: Plan) -> Self {
         Self {
             index,
             plan,
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -160,7 +160,7 @@
             starts: BTreeMap::new(),
         };
         for index in 0..plan.entries {
-            world.entries.push(Entry::new(index, plan, world.time()));
+            world.entries.push(Entry::new(index, plan));
             world.boot(index);
         }
         for index in 0..plan.workers {
--- a/crates/schedule/src/config/rules.rs
+++ b/crates/schedule/src/config/rules.rs
@@ -33,12 +33,6 @@
     pub quarantine: Duration,
     /// Time within which the holders of orders to one host must not change.
     pub host_lease: Duration,
-    /// Time that a host needs for a move.
-    pub host_move: Duration,
-    /// Time for which a lasting task that has started is not yet at work.
-    pub settle: Duration,
-    /// Time for which a member of a gang waits for the others.
-    pub gang: Duration,
 }
 
 impl Default for Rules {
@@ -57,9 +51,6 @@
             stop: Duration::from_millis(900),
             quarantine: Duration::from_millis(4_000),
             host_lease: Duration::from_millis(3_000),
-            host_move: Duration::from_millis(1_500),
-            settle: Duration::from_millis(1_500),
-            gang: Duration::from_millis(3_000),
         }
     }
 }
--- a/crates/schedule/src/engine/pace.rs
+++ b/crates/schedule/src/engine/pace.rs
@@ -90,13 +90,7 @@
     }
 
     /// Takes the answer to a change of pace. A share that may not have been set is ordered again.
-    pub(super) fn take_pace(
-        &mut self,
-        key: run::Key,
-        percent: u8,
-        answer: &Answer<()>,
-        _now: Time,
-    ) {
+    pub(super) fn take_pace(&mut self, key: run::Key, percent: u8, answer: &Answer<()>) {
         if answer.result.is_ok()
             && let Some(run) = self.runs.get_mut(key)
         {
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -38,7 +38,7 @@
                 run,
                 percent,
                 answer,
-            } => self.take_pace(run, percent, &answer, now),
+            } => self.take_pace(run, percent, &answer),
             Report::Advice { step, approved } => self.take_advice(step, approved, now),
             Report::Hosts(hosts) => self.take_hosts(hosts, now),
             Report::Host { host, outcome } => self.take_host(host, outcome, now),
