fix(schedule): match answers to host orders, and count inherited orders against the cap

Change: an order to a host has a number that its answer repeats, and names the life of the runner that it ends. Hosts that a former leader ordered within the block time count as down. A busy host whose order got no answer counts as away until the list or a later try tells.

--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -15,7 +15,7 @@
     Signal, //
 };
 use sassafrascrank_schedule::order::{
-    Order,
+    Act, Order,
     report::{
         Answer,
         Report, //
@@ -128,24 +128,19 @@
                 approved: self.runners.advise(name, &runners).await,
             },
             Order::Hosts => Report::Hosts(self.fleet.hosts().await),
-            Order::Move {
-                host,
-                name,
-                pool,
-                fence,
-            } => Report::Host {
-                host,
-                outcome: self.fleet.relocate(&name, &pool, fence).await,
-            },
-            Order::Maintain {
-                host,
-                name,
-                wave,
-                fence,
-            } => Report::Host {
-                host,
-                outcome: self.fleet.maintain(&name, wave, fence).await,
-            },
+            Order::Host(order) => {
+                let outcome = match &order.act {
+                    Act::Move(pool) => self.fleet.relocate(&order.name, pool, order.fence).await,
+                    Act::Maintain(wave) => {
+                        self.fleet.maintain(&order.name, *wave, order.fence).await
+                    }
+                };
+                Report::Host {
+                    host: order.host,
+                    number: order.number,
+                    outcome,
+                }
+            }
             // The store publishes it.
             Order::Announce { .. } => return,
         };
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -19,7 +19,11 @@
         Kind,
         Note, //
     },
-    order::Order,
+    order::{
+        self,
+        Act,
+        Order, //
+    },
     queue::key,
     runner,
 };
@@ -41,6 +45,8 @@
 const CLOCK_MARGIN: Duration = Duration::from_millis(700);
 /// Time for which a host is kept closed although it does not become empty.
 const CLOSE_LIMIT: Duration = Duration::from_millis(6_000);
+/// Time from the first try of an order for which a busy host counts as away because of a try without an answer.
+const DOUBT_LIMIT: Duration = Duration::from_millis(8_000);
 /// Hosts of one pool that may be closed at once, as a divisor of the pool's size.
 const CLOSE_SHARE: usize = 4;
 
@@ -113,6 +119,9 @@
                 listed,
                 pool,
                 task: None,
+                number: 0,
+                ending: None,
+                doubtful: false,
                 ordered: Time::MIN,
                 accepted: false,
                 rest: now,
@@ -125,6 +134,13 @@
         let known = &mut self.fleet.hosts[key];
         // A list that was asked for before the order took effect may still show the former state.
         let fresh = asked > known.ordered + SHOWN || listed.state != State::Up;
+        // A host that is away shows that an order without an answer was carried out.
+        let away = match known.task {
+            Some(Task::Maintain(_)) => listed.state == State::Maintenance,
+            Some(Task::Move(_)) => listed.state == State::Moving,
+            None => false,
+        };
+        let carried_out = known.doubtful && !known.accepted && away;
         let settled = known.accepted && fresh && listed.state == State::Up;
         known.pool = pool;
         known.listed = listed;
@@ -133,6 +149,9 @@
             known.accepted = false;
             known.closed = None;
         }
+        if carried_out {
+            self.accept(key, now);
+        }
     }
 
     /// Orders what waves and pools need.
@@ -219,7 +238,10 @@
         if wave.done {
             return;
         }
-        let mut room = wave.cap.saturating_sub(self.fleet.in_maintenance(wave));
+        let blocked = |at: Time| now < at + self.block_time();
+        let mut room = wave
+            .cap
+            .saturating_sub(self.fleet.in_maintenance(wave, blocked));
         let hurry = now.since(wave.since) * 2 > wave.duration;
         let left = wave.hosts.iter().filter(|name| !wave.begun.contains(*name));
         let keys: Vec<host::Key> = left
@@ -260,7 +282,7 @@
             None => self.pools[host.pool].standby || host.listed.runner.is_none(),
         };
         let before = self.fleet.before.get(&host.listed.name);
-        let blocked = before.is_some_and(|at| now < *at + self.rules.host_lease + CLOCK_MARGIN);
+        let blocked = before.is_some_and(|at| now < *at + self.block_time());
         host.listed.state == State::Up
             && host.task.is_none()
             && now >= host.rest
@@ -268,6 +290,11 @@
             && !blocked
     }
 
+    /// Returns how long a host is left alone after an order by a former leader.
+    fn block_time(&self) -> Duration {
+        self.rules.host_lease + CLOCK_MARGIN
+    }
+
     /// Tells whether a host may be closed so that it becomes empty.
     fn is_closable(&self, key: host::Key, hurry: bool, now: Time) -> bool {
         let host = &self.fleet.hosts[key];
@@ -296,8 +323,12 @@
     /// Closes a host for an order that is given once the log names it.
     pub(super) fn close_host(&mut self, key: host::Key, task: Task, now: Time) {
         self.set_closing(key, true);
+        let runner = self.runner_of(&self.fleet.hosts[key]);
         let host = &mut self.fleet.hosts[key];
         host.task = Some(task);
+        host.number += 1;
+        host.ending = runner;
+        host.doubtful = false;
         host.accepted = false;
         host.ordered = now;
         host.closed = Some(now);
@@ -311,28 +342,19 @@
         host.ordered = now;
         let name = Arc::clone(&host.listed.name);
         let fence = self.epoch;
-        let (kind, order) = match host.task {
-            Some(Task::Maintain(wave)) => (
-                Kind::HostMaintained,
-                Order::Maintain {
-                    host: key,
-                    name: Arc::clone(&name),
-                    wave,
-                    fence,
-                },
-            ),
-            Some(Task::Move(pool)) => (
-                Kind::HostMoved,
-                Order::Move {
-                    host: key,
-                    name: Arc::clone(&name),
-                    pool: self.pool_name(pool),
-                    fence,
-                },
-            ),
+        let number = host.number;
+        let (kind, act) = match host.task {
+            Some(Task::Maintain(wave)) => (Kind::HostMaintained, Act::Maintain(wave)),
+            Some(Task::Move(pool)) => (Kind::HostMoved, Act::Move(self.pool_name(pool))),
             None => return,
         };
-        self.orders.push(order);
+        self.orders.push(Order::Host(order::Host {
+            host: key,
+            name: Arc::clone(&name),
+            number,
+            act,
+            fence,
+        }));
         self.note(Note::new(kind, "ordered", now).with_place(&name));
     }
 
@@ -351,37 +373,51 @@
     }
 
     /// Takes what came of an order to a host.
-    pub(super) fn take_host(&mut self, key: host::Key, outcome: Outcome, now: Time) {
+    pub(super) fn take_host(&mut self, key: host::Key, number: u32, outcome: Outcome, now: Time) {
+        if outcome == Outcome::Fenced {
+            self.deposed = true;
+            return;
+        }
         let Some(host) = self.fleet.hosts.get_mut(key) else {
             return;
         };
-        let name = Arc::clone(&host.listed.name);
+        // The answer to an earlier order says nothing about the present one, nor about the runner that came after it.
+        if host.number != number || host.task.is_none() || host.accepted {
+            return;
+        }
         match outcome {
-            Outcome::Done => {
-                host.accepted = true;
-                let task = host.task;
-                if let Some(Task::Maintain(wave)) = task
-                    && let Some(wave) = self.fleet.waves.get_mut(&wave)
-                    && wave.begun.insert(Arc::clone(&name))
-                {
-                    self.fleet.unstored.push(wave.number);
-                }
-                if let Some(runner) = self.runner_of(&self.fleet.hosts[key]) {
-                    self.gone(runner, "host-ordered", now);
-                }
-            }
-            Outcome::Fenced => self.deposed = true,
-            Outcome::Unknown => {}
-            Outcome::Busy | Outcome::Rejected | Outcome::Refused => {
+            Outcome::Done => self.accept(key, now),
+            Outcome::Unknown => host.doubtful = true,
+            // It may be away because of an earlier try; the host list shows it, or the next try finds it done.
+            Outcome::Busy if host.doubtful && now < host.closed.unwrap_or(now) + DOUBT_LIMIT => {}
+            _ => {
                 host.task = None;
                 host.closed = None;
                 host.rest = now + REST;
+                let name = Arc::clone(&host.listed.name);
                 self.set_closing(key, false);
                 let note = Note::new(Kind::HostFailed, reason(outcome), now);
                 self.note(note.with_place(&name));
             }
         }
     }
+
+    /// Notes that an order to a host was carried out: the runner that it had is gone.
+    fn accept(&mut self, key: host::Key, now: Time) {
+        let host = &mut self.fleet.hosts[key];
+        host.accepted = true;
+        let name = Arc::clone(&host.listed.name);
+        let ending = host.ending.take();
+        if let Some(Task::Maintain(wave)) = host.task
+            && let Some(wave) = self.fleet.waves.get_mut(&wave)
+            && wave.begun.insert(name)
+        {
+            self.fleet.unstored.push(wave.number);
+        }
+        if let Some(runner) = ending {
+            self.gone(runner, "host-ordered", now);
+        }
+    }
 }
 
 /// Returns the name of an outcome in logs.
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -41,7 +41,11 @@
             } => self.take_pace(run, percent, &answer),
             Report::Advice { step, approved } => self.take_advice(step, approved, now),
             Report::Hosts(hosts) => self.take_hosts(hosts, now),
-            Report::Host { host, outcome } => self.take_host(host, outcome, now),
+            Report::Host {
+                host,
+                number,
+                outcome,
+            } => self.take_host(host, number, outcome, now),
         }
     }
 
--- a/crates/schedule/src/fleet/fleet.rs
+++ b/crates/schedule/src/fleet/fleet.rs
@@ -86,15 +86,17 @@
         }
     }
 
-    /// Returns the hosts of a wave that are in maintenance or ordered to it.
-    pub fn in_maintenance(&self, wave: &Wave) -> usize {
-        let hosts = wave.hosts.iter().filter_map(|name| self.index.get(name));
-        hosts
-            .filter(|&&key| {
-                let host = &self.hosts[key];
+    /// Returns the hosts of a wave that are in maintenance, or that this leader or a former one may have ordered to it.
+    ///
+    /// `blocked` tells whether an order by a former leader at some time may not show in the host list yet.
+    pub fn in_maintenance(&self, wave: &Wave, blocked: impl Fn(Time) -> bool) -> usize {
+        let down = |name: &&Arc<str>| {
+            let host = self.index.get(*name).map(|&key| &self.hosts[key]);
+            host.is_some_and(|host| {
                 host.listed.state == host::State::Maintenance
                     || matches!(host.task, Some(host::Task::Maintain(_)))
-            })
-            .count()
+            }) || self.before.get(*name).is_some_and(|&at| blocked(at))
+        };
+        wave.hosts.iter().filter(down).count()
     }
 }
--- a/crates/schedule/src/fleet/host.rs
+++ b/crates/schedule/src/fleet/host.rs
@@ -1,5 +1,6 @@
 //! A host, as the host service shows it.
 
+use crate::runner;
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::Resource;
 use std::sync::Arc;
@@ -76,6 +77,12 @@
     pub pool: crate::queue::key::Pool,
     /// Order that is not known to be finished.
     pub task: Option<Task>,
+    /// Number of the latest order, so that answers to earlier ones can be told apart.
+    pub number: u32,
+    /// Life of the runner that the order ends.
+    pub ending: Option<runner::Key>,
+    /// A try of the order got no answer and may have been carried out.
+    pub doubtful: bool,
     /// When it was last ordered.
     pub ordered: Time,
     /// The order was carried out; the host is on its way.
--- a/crates/schedule/src/order/mod.rs
+++ b/crates/schedule/src/order/mod.rs
@@ -4,6 +4,8 @@
 pub mod report;
 
 pub use order::{
+    Act,
+    Host,
     Look,
     Order,
     Pace,
--- a/crates/schedule/src/order/order.rs
+++ b/crates/schedule/src/order/order.rs
@@ -88,6 +88,30 @@
     pub percent: u8,
 }
 
+/// What a host is ordered to do.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Moves to the pool of this name.
+    Move(Arc<str>),
+    /// Begins its maintenance in the wave of this number.
+    Maintain(u64),
+}
+
+/// An order to a host.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// The host in the engine.
+    pub host: host::Key,
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Number of the order; a repeat has the same one.
+    pub number: u32,
+    /// What it is ordered to do.
+    pub act: Act,
+    /// Epoch of the leader.
+    pub fence: u64,
+}
+
 /// What the engine wants done.
 #[derive(Clone, Debug)]
 pub enum Order {
@@ -110,28 +134,8 @@
     },
     /// Lists all hosts.
     Hosts,
-    /// Moves a host to another pool.
-    Move {
-        /// The host in the engine.
-        host: host::Key,
-        /// Name of the host.
-        name: Arc<str>,
-        /// Name of the pool.
-        pool: Arc<str>,
-        /// Epoch of the leader.
-        fence: u64,
-    },
-    /// Begins the maintenance of a host.
-    Maintain {
-        /// The host in the engine.
-        host: host::Key,
-        /// Name of the host.
-        name: Arc<str>,
-        /// Number of the wave.
-        wave: u64,
-        /// Epoch of the leader.
-        fence: u64,
-    },
+    /// Moves or maintains a host.
+    Host(Host),
     /// Publishes the state of a wave.
     Announce {
         /// Number of the wave.
--- a/crates/schedule/src/order/report.rs
+++ b/crates/schedule/src/order/report.rs
@@ -199,6 +199,8 @@
     Host {
         /// The host.
         host: host::Key,
+        /// Number of the order.
+        number: u32,
         /// What came of it.
         outcome: host::Outcome,
     },
--- a/crates/schedule/tests/engine/rig/carry.rs
+++ b/crates/schedule/tests/engine/rig/carry.rs
@@ -24,6 +24,7 @@
     work::StepKey,
 };
 use sassafrascrank_standin::cluster::{
+    Phase,
     Refused,
     Start,
     Worker, //
@@ -44,28 +45,7 @@
             Order::Pace(pace) => self.pace(&pace),
             Order::Advise { step, runners, .. } => self.advise(step, runners),
             Order::Hosts => Report::Hosts(Some(self.list_hosts())),
-            Order::Move {
-                host, name, pool, ..
-            } => {
-                let moved = self.hosts.relocate(&name, &pool, ("leader", 7), now);
-                self.mark(&format!("move {name} to {pool} -> {moved:?}"));
-                self.touch(&name, Some(&pool));
-                Report::Host {
-                    host,
-                    outcome: outcome(moved),
-                }
-            }
-            Order::Maintain {
-                host, name, wave, ..
-            } => {
-                let begun = self.hosts.maintain(&name, wave, ("leader", 7), now);
-                self.mark(&format!("maintain {name} -> {begun:?}"));
-                self.touch(&name, None);
-                Report::Host {
-                    host,
-                    outcome: outcome(begun),
-                }
-            }
+            Order::Host(order) => self.order_host(&order),
             Order::Announce { wave, done } => {
                 self.announced.push((wave, done));
                 return;
@@ -74,6 +54,48 @@
         self.engine.report(report, EPOCH + now);
     }
 
+    fn order_host(&mut self, order: &order::Host) -> Report {
+        let now = self.now;
+        let name = &order.name;
+        let by = ("leader", order.fence);
+        let away = self.hosts.hosts[&**name].phase != Phase::Up;
+        let (text, done, pool) = match &order.act {
+            order::Act::Move(pool) => (
+                format!("move {name} to {pool}"),
+                self.hosts.relocate(name, pool, by, now),
+                Some(&**pool),
+            ),
+            order::Act::Maintain(wave) => (
+                format!("maintain {name}"),
+                self.hosts.maintain(name, *wave, by, now),
+                None,
+            ),
+        };
+        // A host that is away says so, also to a repeat of the order that took it away.
+        let done = if away { Some(false) } else { done };
+        let mute = self.mute_hosts > 0 && done == Some(true);
+        let text = match mute {
+            true => format!("{text} -> no answer"),
+            false => format!("{text} -> {done:?}"),
+        };
+        self.mark(&text);
+        if done == Some(true) {
+            self.touch(name, pool);
+        }
+        let outcome = match mute {
+            true => host::Outcome::Unknown,
+            false => outcome(done),
+        };
+        self.mute_hosts = self.mute_hosts.saturating_sub(usize::from(mute));
+        let report = Report::Host {
+            host: order.host,
+            number: order.number,
+            outcome,
+        };
+        self.answers.push(report.clone());
+        report
+    }
+
     fn start(&mut self, start: &order::Start) -> Report {
         let now = self.now;
         let order = Start {
--- a/crates/schedule/tests/engine/rig/rig.rs
+++ b/crates/schedule/tests/engine/rig/rig.rs
@@ -15,6 +15,7 @@
         Succession, //
     },
     fleet::host,
+    order::report::Report,
     runner::{
         Change,
         Listed, //
@@ -65,6 +66,10 @@
     pub(crate) fails: fn(&Task, u32, &str) -> bool,
     /// The latest progress of each job, as the log would hold it.
     pub(crate) log: BTreeMap<Id, Arc<Progress>>,
+    /// Answers to orders to hosts.
+    pub(crate) answers: Vec<Report>,
+    /// Orders to hosts that will be carried out without an answer.
+    pub(crate) mute_hosts: usize,
     /// Waves whose state was published.
     pub(crate) announced: Vec<(u64, bool)>,
     lines: String,
@@ -107,6 +112,8 @@
             work: |_| Some(Duration::from_millis(300)),
             fails: |_, _, _| false,
             log: BTreeMap::new(),
+            answers: Vec::new(),
+            mute_hosts: 0,
             announced: Vec::new(),
             lines: String::new(),
             shown: 0,
