perf(lead): let the entries with the most processor lead

Cause: on the grown sites 26 of 32 entries have 0.12 cores and 6 have 0.5.

Change: the leader's record states its processor. An entry with twice as much replaces a leader that it has heard for a second, and at the first start of a deployment smaller entries wait longer.

--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -55,6 +55,8 @@
     pub name: Arc<str>,
     /// Start of the process, microseconds since the Unix epoch.
     pub born: u64,
+    /// Processor in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// A wave as operators ask for it.
@@ -109,7 +111,8 @@
         now: Time,
     ) -> Self {
         let name = Id(identity.born).0 ^ sassafrascrank_base::hash::text(&identity.name);
-        let seat = Seat::new(lead, sassafrascrank_base::hash::mix(name), now);
+        let place = sassafrascrank_base::hash::mix(name);
+        let seat = Seat::new(lead, place, identity.capacity, now);
         Self {
             identity,
             book: Book::default(),
@@ -217,6 +220,7 @@
         let heard = match record {
             Record::Leader(leader) => Heard {
                 epoch: leader.epoch,
+                capacity: leader.capacity,
                 resigned: leader.resigned,
                 own_past: leader.holder == self.identity.name && leader.born != self.identity.born,
             },
@@ -237,16 +241,14 @@
 
     /// Returns what a record says that names only the epoch of its writer.
     fn heard_epoch(&self, epoch: u64) -> Heard {
-        let leader = self.book.leader();
-        let own_past = leader.is_some_and(|leader| {
-            leader.epoch == epoch
-                && leader.holder == self.identity.name
-                && leader.born != self.identity.born
-        });
+        let leader = self.book.leader().filter(|leader| leader.epoch == epoch);
         Heard {
             epoch,
-            resigned: leader.is_some_and(|leader| leader.epoch == epoch && leader.resigned),
-            own_past,
+            capacity: leader.map_or(0, |leader| leader.capacity),
+            resigned: leader.is_some_and(|leader| leader.resigned),
+            own_past: leader.is_some_and(|leader| {
+                leader.holder == self.identity.name && leader.born != self.identity.born
+            }),
         }
     }
 
--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -113,6 +113,7 @@
             born: self.identity.born,
             resigned,
             runs_until: self.runs_until(),
+            capacity: self.identity.capacity,
         })
     }
 
--- a/crates/control/src/process/process.rs
+++ b/crates/control/src/process/process.rs
@@ -12,7 +12,6 @@
     control::{
         self,
         Control,
-        Identity,
         Ports, //
     },
     drive::{
@@ -107,7 +106,7 @@
     ) -> Result<Self, Error> {
         let metrics = settings.metrics.map(listen).transpose()?;
         let clock = Clock::new();
-        let born = wall().as_micros();
+        let identity = settings.identity(wall());
         let [wake, trace_wake, front_signal, store_signal, drive_signal] =
             [(); 5].map(|()| Signal::new());
         let (call_sender, calls) = ring(CALLS, &wake);
@@ -144,7 +143,7 @@
         let store = Store {
             platform: platform.clone(),
             name: Arc::clone(&settings.name),
-            born,
+            born: identity.born,
             requests,
             signal: store_signal,
             events: event_sender,
@@ -171,10 +170,6 @@
             sink: control_sink,
             stop: Arc::clone(&stop),
         };
-        let identity = Identity {
-            name: settings.name,
-            born,
-        };
         let control = Control::new(identity, settings.lead, settings.rules, clock.now());
         let control = start("control", move || control::run(control, ports, clock))?;
         Ok(Self {
--- a/crates/control/src/process/settings.rs
+++ b/crates/control/src/process/settings.rs
@@ -1,6 +1,8 @@
 //! What a process has to know at its start.
 
+use crate::control::Identity;
 use core::net::SocketAddr;
+use sassafrascrank_base::prelude::*;
 use std::sync::Arc;
 
 /// What a process has to know at its start.
@@ -8,6 +10,8 @@
 pub struct Settings {
     /// Name of the entry, which no other living process has.
     pub name: Arc<str>,
+    /// Processor in thousandths of a core.
+    pub capacity: u32,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for questions whether the entry is ready.
@@ -19,3 +23,14 @@
     /// Times and limits of the scheduler.
     pub rules: sassafrascrank_schedule::Rules,
 }
+
+impl Settings {
+    /// Returns the name and life of the process that starts at `wall`, the time of day.
+    pub(super) fn identity(&self, wall: Time) -> Identity {
+        Identity {
+            name: Arc::clone(&self.name),
+            born: wall.as_micros(),
+            capacity: self.capacity,
+        }
+    }
+}
--- a/crates/control/tests/world/entry.rs
+++ b/crates/control/tests/world/entry.rs
@@ -90,6 +90,8 @@
         let identity = Identity {
             name: format!("entry-{}", self.index).into(),
             born: now.as_micros() + self.life,
+            // The last entry takes the role from the others while they order.
+            capacity: if self.index == 2 { 500 } else { 250 },
         };
         let lead = sassafrascrank_lead::Rules::default();
         let mut rules = Rules::default();
--- a/crates/job/src/record/record.rs
+++ b/crates/job/src/record/record.rs
@@ -21,6 +21,8 @@
     pub resigned: bool,
     /// Until then, runs of earlier leaders may go on at runners that don't answer.
     pub runs_until: Time,
+    /// Processor of the entry in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// Hosts of a maintenance wave that have begun their maintenance.
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -104,6 +104,8 @@
     resigned: bool,
     /// Microseconds since the Unix epoch.
     runs_until: u64,
+    #[serde(default)]
+    capacity: u32,
 }
 
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -388,6 +390,7 @@
             born: leader.born,
             resigned: leader.resigned,
             runs_until: leader.runs_until.as_micros(),
+            capacity: leader.capacity,
         }
     }
 }
@@ -400,6 +403,7 @@
             born: wire.born,
             resigned: wire.resigned,
             runs_until: Time::from_micros(wire.runs_until),
+            capacity: wire.capacity,
         }
     }
 }
--- a/crates/lead/src/seat/rules.rs
+++ b/crates/lead/src/seat/rules.rs
@@ -18,8 +18,17 @@
     pub stagger: Duration,
     /// Age of the last successful read up to which the log counts as read.
     pub freshness: Duration,
+    /// Time for which an entry without any processor would wait longer than one with a whole core at the first start
+    /// of a deployment. Nothing is served yet, so the largest entries can come first.
+    pub deference: Duration,
+    /// Time for which a leader is heard before an entry with twice its processor replaces it.
+    pub settling: Duration,
 }
 
+/// Multiple of a leader's processor with which an entry replaces it. Leading takes several times the processor that
+/// the other duties do, and a leader that is short of it delays every start.
+pub(super) const OUTRANKS: u32 = 2;
+
 impl Default for Rules {
     fn default() -> Self {
         Self {
@@ -29,6 +38,8 @@
             pulse: Duration::from_millis(400),
             stagger: Duration::from_millis(300),
             freshness: Duration::from_millis(700),
+            deference: Duration::from_millis(1_000),
+            settling: Duration::from_millis(1_000),
         }
     }
 }
--- a/crates/lead/src/seat/seat.rs
+++ b/crates/lead/src/seat/seat.rs
@@ -1,11 +1,17 @@
 //! When an entry claims, and when a leader may order.
 
-use super::Rules;
+use super::{
+    Rules,
+    rules::OUTRANKS, //
+};
 use sassafrascrank_base::prelude::*;
 
 /// Low bits of an epoch, which differ between the claims of two entries in the same round.
 const ROUND_SHIFT: u32 = 16;
 
+/// Thousandths of a core in a whole one.
+const WHOLE: u32 = 1_000;
+
 /// Part of an entry in the leadership.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Role {
@@ -28,6 +34,8 @@
 pub struct Heard {
     /// Epoch of its writer.
     pub epoch: u64,
+    /// Processor of the writer in thousandths of a core.
+    pub capacity: u32,
     /// The writer gave up its role.
     pub resigned: bool,
     /// The writer is an earlier life of this process.
@@ -40,9 +48,13 @@
     rules: Rules,
     /// Differs between processes; breaks ties.
     identity: u64,
+    /// Processor of this entry in thousandths of a core.
+    capacity: u32,
     role: Role,
     heard: Option<Heard>,
     heard_at: Time,
+    /// When the latest epoch was first heard.
+    led_since: Time,
     /// Start of the current stretch of successful reads.
     reading_since: Option<Time>,
     read_at: Time,
@@ -54,13 +66,15 @@
 
 impl Seat {
     /// Makes the seat of a process that has read nothing yet.
-    pub fn new(rules: Rules, identity: u64, now: Time) -> Self {
+    pub fn new(rules: Rules, identity: u64, capacity: u32, now: Time) -> Self {
         Self {
             rules,
             identity,
+            capacity,
             role: Role::Follower,
             heard: None,
             heard_at: now,
+            led_since: now,
             reading_since: None,
             read_at: Time::MIN,
             confirmed: Time::MIN,
@@ -107,6 +121,9 @@
         if heard.epoch < known {
             return false;
         }
+        if heard.epoch > known {
+            self.led_since = now;
+        }
         self.heard = Some(heard);
         self.heard_at = now;
         match self.role {
@@ -131,7 +148,7 @@
         }
         let start = since.max(self.heard_at);
         let away = since > self.heard_at + self.rules.tenure;
-        if now < start + self.patience(away) {
+        if now < start + self.patience(away) && !self.outranks(since, now) {
             return None;
         }
         let round = self.heard.map_or(0, |heard| heard.epoch >> ROUND_SHIFT) + 1;
@@ -180,17 +197,35 @@
 
     /// Returns the time of silence after which this entry claims. The log was `away` for longer than a tenure.
     fn patience(&self, away: bool) -> Duration {
-        let stagger = self
-            .rules
-            .stagger
-            .mul_f64((self.identity >> 48) as f64 / 65_536.0);
+        let stagger = self.stagger();
         match self.heard {
             // No other process can lead with the epoch of this process's earlier life.
             Some(heard) if heard.own_past => Duration::ZERO,
             Some(heard) if heard.resigned => stagger / 4,
-            None => stagger,
+            None => stagger + self.deference(),
             Some(_) if away => self.rules.regained + stagger,
             Some(_) => self.rules.silence + stagger,
         }
     }
+
+    /// Tells whether this entry replaces a leader because it has much more processor. The log has been read `since`.
+    fn outranks(&self, since: Time, now: Time) -> bool {
+        let settled = since.max(self.led_since) + self.rules.settling + self.stagger();
+        now >= settled
+            && self.heard.is_some_and(|heard| {
+                heard.capacity > 0 && self.capacity >= heard.capacity.saturating_mul(OUTRANKS)
+            })
+    }
+
+    /// Returns the part of the spread of claims that falls on this entry.
+    fn stagger(&self) -> Duration {
+        let place = (self.identity >> 48) as f64 / 65_536.0;
+        self.rules.stagger.mul_f64(place)
+    }
+
+    /// Returns the time for which this entry waits longer than a whole core at the first start.
+    fn deference(&self) -> Duration {
+        let missing = WHOLE.saturating_sub(self.capacity);
+        self.rules.deference * missing / WHOLE
+    }
 }
--- /dev/null
+++ b/crates/lead/tests/seat.rs
@@ -0,0 +1,106 @@
+//! Claims of entries that read the same log.
+
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_lead::{
+    Rules,
+    Seat,
+    seat::Heard, //
+};
+use std::fmt::Write;
+
+const START: Time = Time::from_millis(1_000_000);
+/// Time between two reads of the log.
+const READ: Duration = Duration::from_millis(50);
+
+fn record(epoch: u64, capacity: u32) -> Heard {
+    Heard {
+        epoch,
+        capacity,
+        resigned: false,
+        own_past: false,
+    }
+}
+
+/// Returns after how many milliseconds an entry of `capacity` claims that hears `heard` until `silent`.
+fn claims(capacity: u32, heard: Option<Heard>, silent: Duration) -> Option<u128> {
+    let mut seat = Seat::new(Rules::default(), 0, capacity, START);
+    let mut now = START;
+    while now < START + Duration::from_secs(10) {
+        seat.read(true, now, now);
+        if let Some(heard) = heard
+            && now < START + silent
+        {
+            seat.hear(heard, now);
+        }
+        if seat.claim(now).is_some() {
+            return Some(now.since(START).as_millis());
+        }
+        now = now + READ;
+    }
+    None
+}
+
+/// Guards against a leader that is left alone although it lacks the processor, against entries of the same size that
+/// take the role from each other, and against a first leader that is a small entry.
+#[test]
+fn larger_entries_lead() {
+    let forever = Duration::MAX;
+    let brief = Duration::from_secs(1);
+    let mut table = String::new();
+    for (name, capacity, heard, silent) in [
+        ("first start, small", 120, None, forever),
+        ("first start, large", 500, None, forever),
+        (
+            "small leader, large entry",
+            500,
+            Some(record(1 << 16, 120)),
+            forever,
+        ),
+        (
+            "large leader, small entry",
+            120,
+            Some(record(1 << 16, 500)),
+            forever,
+        ),
+        (
+            "leader of the same size",
+            250,
+            Some(record(1 << 16, 250)),
+            forever,
+        ),
+        (
+            "leader of unknown size",
+            250,
+            Some(record(1 << 16, 0)),
+            forever,
+        ),
+        (
+            "silent leader of the same size",
+            250,
+            Some(record(1 << 16, 250)),
+            brief,
+        ),
+    ] {
+        let after = claims(capacity, heard, silent);
+        writeln!(table, "{name}: {after:?}").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Guards against entries that take a role back and forth: one that was replaced is not larger than its successor.
+#[test]
+fn replaced_leader_stays_follower() {
+    let mut small = Seat::new(Rules::default(), 0, 120, START);
+    small.read(true, START, START);
+    let now = START + Duration::from_millis(900);
+    small.read(true, now, now);
+    let epoch = small.claim(now).unwrap();
+    small.claimed(epoch, START);
+    assert!(small.hear(record(2 << 16, 500), START + READ));
+    for step in 1..200 {
+        let now = now + READ * step;
+        small.read(true, now, now);
+        small.hear(record(2 << 16, 500), now);
+        assert_eq!(small.claim(now), None, "after {step} reads");
+    }
+}
