fix(control): count an entry as current only at the end of the log

A read of up to 1 MiB did not fit into its 1.1 s, and each version of a configuration storm was read again.

Change: a page tells whether it reaches the end that the log had; only then are the reader's questions answered and its silence counted.

The test answered "no job" to the second question before the change.

--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -84,7 +84,7 @@
     pub(super) calls: Calls,
     /// All jobs were read.
     pub(super) jobs_read: bool,
-    /// When the last successful read of the jobs ended.
+    /// When the last read of the jobs ended that reached the end of the log.
     pub(super) read_at: Time,
     /// When an append of a caller's record last failed.
     pub(super) refused_at: Option<Time>,
@@ -160,7 +160,13 @@
                 records,
                 started,
                 complete,
-            } => self.take_jobs(records, started, complete, now),
+                last,
+            } => {
+                self.take_jobs(records, complete, now);
+                if last {
+                    self.take_end(started, now);
+                }
+            }
             store::Event::Operator(notices) => {
                 for notice in notices {
                     self.take_notice(notice, now);
@@ -200,10 +206,7 @@
         self.update_readiness(now);
     }
 
-    fn take_jobs(&mut self, records: Vec<(u64, Record)>, started: Time, complete: bool, now: Time) {
-        self.read_at = now;
-        self.seat.read(true, started, now);
-        self.set_reachable(true, now);
+    fn take_jobs(&mut self, records: Vec<(u64, Record)>, complete: bool, now: Time) {
         for (offset, record) in records {
             self.hear(&record, now);
             let change = self.book.apply(offset, record, now);
@@ -212,6 +215,13 @@
         if complete {
             self.jobs_read = true;
         }
+    }
+
+    /// Notes that everything was read that the log held at `started`.
+    fn take_end(&mut self, started: Time, now: Time) {
+        self.read_at = now;
+        self.seat.read(true, started, now);
+        self.set_reachable(true, now);
         self.answer_reads(started);
     }
 
--- a/crates/control/src/port/log.rs
+++ b/crates/control/src/port/log.rs
@@ -48,6 +48,15 @@
     pub items: Vec<Item>,
     /// Offset from which to read on.
     pub next: u64,
+    /// Offset after the last record that the log held.
+    pub end: u64,
+}
+
+impl Page {
+    /// Tells whether the page reaches the end that the log had.
+    pub fn is_last(&self) -> bool {
+        self.next >= self.end
+    }
 }
 
 /// Who appends; the log rejects lower epochs of a name and recognises repeats by the sequence.
--- a/crates/control/src/store/message.rs
+++ b/crates/control/src/store/message.rs
@@ -67,6 +67,8 @@
         started: Time,
         /// All jobs were read, not only new records.
         complete: bool,
+        /// No later record was there when they were read.
+        last: bool,
     },
     /// Records of operators.
     Operator(Vec<Notice>),
--- a/crates/control/src/store/tail.rs
+++ b/crates/control/src/store/tail.rs
@@ -80,7 +80,11 @@
             Ok(page) => {
                 let complete = next.is_none();
                 next = Some(page.next);
+                let last = page.is_last();
                 pass_on::<L>(topic, page, started, complete, &outlet).await;
+                if !last {
+                    continue;
+                }
                 let spent = clock.now().since(started);
                 let pause = control.pace.get().saturating_sub(spent);
                 if !pause.is_zero() {
@@ -90,6 +94,10 @@
             }
             Err(ReadError::Expired) => next = None,
             Err(ReadError::Unavailable(_)) => {
+                // Of operators and runners only the newest records count, which are fewer than those that were missed.
+                if topic != Topic::Jobs {
+                    next = None;
+                }
                 outlet.send(Event::ReadFailed { topic }).await;
                 sleep(RETRY_PAUSE).await;
             }
@@ -100,6 +108,7 @@
 /// Decodes and passes on what was read. A record that can't be decoded is skipped.
 async fn pass_on<L: Log>(topic: Topic, page: Page, started: Time, complete: bool, outlet: &Outlet) {
     let mut skipped = Vec::new();
+    let last = page.is_last();
     let event = match topic {
         Topic::Jobs => {
             let mut records = Vec::with_capacity(page.items.len());
@@ -113,6 +122,7 @@
                 records,
                 started,
                 complete,
+                last,
             }
         }
         Topic::Operator => Event::Operator(notices::<L>(&page.items, &mut skipped)),
--- /dev/null
+++ b/crates/control/tests/reads.rs
@@ -0,0 +1,84 @@
+//! Answers of an entry that is behind the log.
+
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_control::{
+    control::{
+        Control,
+        Identity, //
+    },
+    front::{
+        Notice,
+        Query,
+        Request, //
+    },
+    port::{
+        Problem,
+        Reply, //
+    },
+    store::Event,
+};
+use sassafrascrank_job::{
+    Id,
+    Record, //
+};
+
+const START: Time = Time::from_millis(1_000_000);
+const JOB: Id = Id(7);
+
+fn entry() -> Control {
+    let identity = Identity {
+        name: "entry".into(),
+        born: 1,
+        capacity: 250,
+    };
+    Control::new(identity, Default::default(), Default::default(), START)
+}
+
+/// Returns a read that began at `started` and found nothing of the job.
+fn read(started: Time, complete: bool, last: bool) -> Event {
+    Event::Jobs {
+        records: vec![(0, Record::Cancel(Id(1)))],
+        started,
+        complete,
+        last,
+    }
+}
+
+fn ask(control: &mut Control, caller: u64, now: Time) {
+    let query = Query::State(JOB);
+    control.take_call(Request { caller, query }, now);
+}
+
+/// Returns the answer to a question that was asked at `millis`, if there is one.
+fn answer(control: &mut Control) -> Option<String> {
+    let notices = control.take_output().notices;
+    notices.into_iter().find_map(|notice| match notice {
+        Notice::Reply {
+            reply: Reply::Problem(Problem::NoJob, _),
+            ..
+        } => Some("no job".to_owned()),
+        Notice::Reply { reply, .. } => Some(format!("{reply:?}")),
+        _ => None,
+    })
+}
+
+/// Guards against an entry that has read a part of what it missed and says that a job does not exist which another
+/// entry has accepted.
+#[test]
+fn entry_that_is_behind_the_log_denies_no_job() {
+    let mut control = entry();
+    let after = |millis| START + Duration::from_millis(millis);
+    control.take_event(read(START, true, true), after(10));
+    // The log is away for 9 s; the first page after that leaves records unread.
+    ask(&mut control, 1, after(9_000));
+    let away = answer(&mut control);
+    control.take_event(read(after(9_010), false, false), after(9_100));
+    ask(&mut control, 2, after(9_150));
+    let behind = answer(&mut control);
+    control.take_event(read(after(9_200), false, true), after(9_300));
+    ask(&mut control, 3, after(9_310));
+    let waiting = answer(&mut control);
+    control.take_event(read(after(9_320), false, true), after(9_330));
+    let current = answer(&mut control);
+    insta::assert_debug_snapshot!([away, behind, waiting, current]);
+}
--- a/crates/control/tests/world/entry.rs
+++ b/crates/control/tests/world/entry.rs
@@ -262,6 +262,7 @@
             records: rows.into_iter().map(decode).collect(),
             started,
             complete,
+            last: true,
         };
         self.push_after(2, 6, Event::Store(index, life, event));
         let pace = self.entries[index].pace.as_millis() as u64;
--- a/crates/standin/src/cluster/service.rs
+++ b/crates/standin/src/cluster/service.rs
@@ -43,6 +43,8 @@
 };
 use tokio::time::sleep;
 
+/// Kilobytes of a read that names no size.
+const READ_KILOBYTES: u64 = 1_024;
 /// Time between two looks at a log that a reader waits for.
 const POLL: Duration = Duration::from_millis(3);
 
@@ -119,6 +121,7 @@
     let topic = query.get("topic").cloned().unwrap_or_default();
     let from = number(query, "from").unwrap_or_default();
     let wait = Duration::from_millis(number(query, "waitMs").unwrap_or_default());
+    let limit = number(query, "maxKb").unwrap_or(READ_KILOBYTES) << 10;
     let begun = Instant::now();
     loop {
         match lock(state).log.read(&topic, from) {
@@ -127,8 +130,11 @@
                 let mut body = Vec::new();
                 body.extend_from_slice(&end.to_be_bytes());
                 body.extend_from_slice(&0_u64.to_be_bytes());
-                for (key, value) in records {
+                for (index, (key, value)) in records.into_iter().enumerate() {
                     let length = 1 + key.len() + value.len();
+                    if index > 0 && (body.len() + length) as u64 > limit {
+                        break;
+                    }
                     body.extend_from_slice(&(length as u32).to_be_bytes());
                     body.push(key.len() as u8);
                     body.extend_from_slice(key.as_bytes());
