fix(lead): look at the log once more before a claim

Cause: followers read the log every 300 ms.

Change: a due claim first causes a read and waits 25 ms for what it shows. An entry with half the processor of the latest leader waits 200 ms longer.

--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -7,6 +7,7 @@
     Record,
     record::Leader, //
 };
+use sassafrascrank_lead::seat;
 use sassafrascrank_schedule::{
     Engine,
     engine::Succession,
@@ -55,11 +56,12 @@
 impl Control {
     /// Claims, or begins to lead once everything needed has been read.
     pub(super) fn advance_leadership(&mut self, wall: Time, now: Time) {
-        if self.jobs_read
-            && self.config.is_some()
-            && let Some(epoch) = self.seat.claim(now)
-        {
-            self.claim(epoch, now);
+        if self.jobs_read && self.config.is_some() {
+            match self.seat.claim(now) {
+                seat::Claim::Wait => {}
+                seat::Claim::Look => self.out.requests.push(store::Request::Refresh),
+                seat::Claim::Append(epoch) => self.claim(epoch, now),
+            }
         }
         let ready = |claim: &Claim| {
             let leader = self.book.leader();
--- a/crates/lead/src/seat/mod.rs
+++ b/crates/lead/src/seat/mod.rs
@@ -5,6 +5,7 @@
 
 pub use rules::Rules;
 pub use seat::{
+    Claim,
     Heard,
     Role,
     Seat, //
--- a/crates/lead/src/seat/rules.rs
+++ b/crates/lead/src/seat/rules.rs
@@ -21,6 +21,10 @@
     /// Time for which an entry without any processor would wait longer than one with a whole core at the first start
     /// of a deployment. Nothing is served yet, so the largest entries can come first.
     pub deference: Duration,
+    /// Time between the last look at the log and a claim. It covers a read and the append of another claim.
+    pub look: Duration,
+    /// Time for which an entry with half the processor of the latest leader waits longer than others.
+    pub courtesy: Duration,
     /// Time for which a leader is heard before an entry with twice its processor replaces it.
     pub settling: Duration,
 }
@@ -39,6 +43,8 @@
             stagger: Duration::from_millis(300),
             freshness: Duration::from_millis(700),
             deference: Duration::from_millis(1_000),
+            look: Duration::from_millis(25),
+            courtesy: Duration::from_millis(200),
             settling: Duration::from_millis(1_000),
         }
     }
--- a/crates/lead/src/seat/seat.rs
+++ b/crates/lead/src/seat/seat.rs
@@ -29,6 +29,17 @@
     },
 }
 
+/// What an entry does about a claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// No claim is due.
+    Wait,
+    /// A claim is due unless the log holds that of another entry: the log has to be read at once.
+    Look,
+    /// A claim of this epoch has to be appended.
+    Append(u64),
+}
+
 /// A record by a leader, as it was read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Heard {
@@ -60,6 +71,8 @@
     read_at: Time,
     /// Start of the last confirmed append of this leader.
     confirmed: Time,
+    /// Since when a claim is due.
+    due: Option<Time>,
     /// The entry is ending and doesn't claim.
     retired: bool,
 }
@@ -78,6 +91,7 @@
             reading_since: None,
             read_at: Time::MIN,
             confirmed: Time::MIN,
+            due: None,
             retired: false,
         }
     }
@@ -123,6 +137,7 @@
         }
         if heard.epoch > known {
             self.led_since = now;
+            self.due = None;
         }
         self.heard = Some(heard);
         self.heard_at = now;
@@ -135,27 +150,43 @@
         }
     }
 
-    /// Returns the epoch of a claim that has to be appended now.
-    pub fn claim(&mut self, now: Time) -> Option<u64> {
+    /// Returns whether a claim has to be appended now. Before one, the entry has to look at the log once more.
+    pub fn claim(&mut self, now: Time) -> Claim {
+        if !self.is_due(now) {
+            self.due = None;
+            return Claim::Wait;
+        }
+        match self.due {
+            None => {
+                self.due = Some(now);
+                return Claim::Look;
+            }
+            Some(due) if now < due + self.rules.look => return Claim::Wait,
+            Some(_) => self.due = None,
+        }
+        let round = self.heard.map_or(0, |heard| heard.epoch >> ROUND_SHIFT) + 1;
+        let low = self.identity & ((1 << ROUND_SHIFT) - 1);
+        let epoch = (round << ROUND_SHIFT) | low;
+        self.role = Role::Candidate { epoch };
+        Claim::Append(epoch)
+    }
+
+    /// Tells whether nobody leads, or a much smaller entry, for as long as this entry waits.
+    fn is_due(&mut self, now: Time) -> bool {
         if self.retired || self.role != Role::Follower {
-            return None;
+            return false;
         }
-        let since = self.reading_since?;
+        let Some(since) = self.reading_since else {
+            return false;
+        };
         if now.since(self.read_at) > self.rules.freshness {
             // A pause of the process, or of the log, is no silence of the leader.
             self.reading_since = None;
-            return None;
+            return false;
         }
         let start = since.max(self.heard_at);
         let away = since > self.heard_at + self.rules.tenure;
-        if now < start + self.patience(away) && !self.outranks(since, now) {
-            return None;
-        }
-        let round = self.heard.map_or(0, |heard| heard.epoch >> ROUND_SHIFT) + 1;
-        let low = self.identity & ((1 << ROUND_SHIFT) - 1);
-        let epoch = (round << ROUND_SHIFT) | low;
-        self.role = Role::Candidate { epoch };
-        Some(epoch)
+        now >= start + self.patience(away) || self.outranks(since, now)
     }
 
     /// Takes the confirmation of the claim, whose append started at `started`.
@@ -197,14 +228,14 @@
 
     /// Returns the time of silence after which this entry claims. The log was `away` for longer than a tenure.
     fn patience(&self, away: bool) -> Duration {
-        let stagger = self.stagger();
+        let wait = self.stagger() + self.courtesy();
         match self.heard {
             // No other process can lead with the epoch of this process's earlier life.
             Some(heard) if heard.own_past => Duration::ZERO,
-            Some(heard) if heard.resigned => stagger / 4,
-            None => stagger + self.deference(),
-            Some(_) if away => self.rules.regained + stagger,
-            Some(_) => self.rules.silence + stagger,
+            Some(heard) if heard.resigned => wait / 2,
+            None => wait + self.deference(),
+            Some(_) if away => self.rules.regained + wait,
+            Some(_) => self.rules.silence + wait,
         }
     }
 
@@ -217,6 +248,15 @@
             })
     }
 
+    /// Returns the time that this entry leaves to others of the size of the latest leader, if it is much smaller.
+    fn courtesy(&self) -> Duration {
+        let larger = |heard: Heard| heard.capacity >= self.capacity.saturating_mul(OUTRANKS);
+        match self.heard.is_some_and(larger) {
+            true => self.rules.courtesy,
+            false => Duration::ZERO,
+        }
+    }
+
     /// Returns the part of the spread of claims that falls on this entry.
     fn stagger(&self) -> Duration {
         let place = (self.identity >> 48) as f64 / 65_536.0;
