feat(schedule): let slow runners rest, and start their runs again elsewhere

Cause: a runner that turned slow, or on which everything stood still, was recognised by failures only, so it went on getting work, and jobs waited for it.

Change: a runner shows the progress of its runs, from which the whole time of each follows, by the runner's clock. Its runs are stopped and start again elsewhere if that gains time; a speculative task gets a second run beside the first one instead.

--- a/crates/schedule/src/engine/end.rs
+++ b/crates/schedule/src/engine/end.rs
@@ -83,6 +83,7 @@
         match end.how {
             How::Done => {
                 self.trust(place);
+                self.learn_time(&run, now);
                 self.complete_step(task, now);
             }
             How::Failed => self.fail(task, place, now),
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -89,6 +89,8 @@
     pub(super) notes: Vec<Note>,
     /// When the tiers of jobs were last renewed.
     pub(super) tiered: Time,
+    /// When slow runners were last looked for.
+    pub(super) relieved: Time,
     /// A runner knows a later leader.
     pub(super) deposed: bool,
 }
@@ -118,6 +120,7 @@
             orders: Vec::new(),
             notes: Vec::new(),
             tiered: now,
+            relieved: now,
             deposed: false,
         };
         engine.configure(config);
@@ -192,6 +195,7 @@
             stretch: terms.stretch,
             target: terms.target,
             advised: false,
+            ratio: 100,
             configured: false,
         });
         self.queue_index.insert(Arc::clone(name), key);
--- a/crates/schedule/src/engine/evict.rs
+++ b/crates/schedule/src/engine/evict.rs
@@ -49,14 +49,7 @@
         if !draining && !self.is_spare(run) {
             return false;
         }
-        let need = shape.counted();
-        let spread = shape.spread;
-        let step = run.task.step();
-        let room = |key, runner: &Runner| {
-            runner.fits(need)
-                && spread.is_none_or(|spread| self.count(key, step) < usize::from(spread))
-        };
-        self.choose(step, Some(run.runner), now, room).is_some()
+        self.choose_for(run.task, Some(run.runner), now).is_some()
     }
 
     /// Tells whether the budget of the step allows a stop: fewer of its other tasks are away than may be missed.
--- a/crates/schedule/src/engine/inherit.rs
+++ b/crates/schedule/src/engine/inherit.rs
@@ -7,12 +7,11 @@
         Runner, //
     },
     work::{
-        self,
-        Occurrence,
-        Run,
-        State,
-        TaskKey,
-        run::Stage, //
+        self, Occurrence, Run, State, TaskKey,
+        run::{
+            self,
+            Stage, //
+        },
     },
 };
 use sassafrascrank_base::prelude::*;
@@ -121,7 +120,7 @@
             stop_at: None,
             ticket: None,
             percent: 0,
-            moved: now,
+            progress: run::Progress::default(),
             load: 0,
             pace: 100,
             paced: Time::MIN,
--- a/crates/schedule/src/engine/look.rs
+++ b/crates/schedule/src/engine/look.rs
@@ -29,7 +29,7 @@
 };
 use sassafrascrank_base::prelude::*;
 
-/// Wait of a look while runs are being stopped or are in doubt.
+/// Wait of a look while short tasks run, or while runs are being stopped or are in doubt.
 const SHORT_WAIT: Duration = Duration::from_millis(300);
 
 impl Engine {
@@ -73,9 +73,13 @@
         if silent || runner.runs.is_empty() {
             return Duration::ZERO;
         }
-        let stages = runner.runs.iter().map(|&run| self.runs[run].stage);
-        let settled = |stage: Stage| matches!(stage, Stage::Running | Stage::Planned);
-        match stages.into_iter().all(settled) {
+        // Short tasks show in time how they get on.
+        let calm = |run: &run::Key| {
+            let run = &self.runs[*run];
+            let lasting = self.shape(run.task).is_some_and(|step| step.lasting);
+            lasting && matches!(run.stage, Stage::Running | Stage::Planned)
+        };
+        match runner.runs.iter().all(calm) {
             true => self.rules.look_wait,
             false => SHORT_WAIT.min(self.rules.look_wait),
         }
@@ -106,7 +110,7 @@
                 let runner = &mut self.runners[key];
                 runner.acknowledged = runner.acknowledged.max(acknowledged);
                 runner.looked = answer.sent;
-                self.take_view(key, view, answer.sent, now);
+                self.take_view(key, view, answer.clock, answer.sent, now);
                 self.schedule_look(key, now);
             }
             Err(Failure::Fenced) => self.deposed = true,
@@ -132,8 +136,15 @@
         runner.look_at = now + pause;
     }
 
-    /// Takes what a runner shows. It was asked at `sent`.
-    fn take_view(&mut self, key: runner::Key, view: View, sent: Time, now: Time) {
+    /// Takes what a runner shows at `clock`. It was asked at `sent`.
+    fn take_view(
+        &mut self,
+        key: runner::Key,
+        view: View,
+        clock: Option<u64>,
+        sent: Time,
+        now: Time,
+    ) {
         let truncated = view.truncated;
         let ended: Vec<_> = view
             .ended
@@ -146,7 +157,7 @@
             match self.find_run(key, &row) {
                 Some(run) => {
                     shown.push(run);
-                    self.take_running(run, row, sent, now);
+                    self.take_running(run, row, clock, sent, now);
                 }
                 None => self.stop_foreign(key, &row, now),
             }
@@ -189,18 +200,27 @@
     }
 
     /// Takes what a runner shows of a run.
-    fn take_running(&mut self, key: run::Key, row: Running, sent: Time, now: Time) {
+    fn take_running(
+        &mut self,
+        key: run::Key,
+        row: Running,
+        clock: Option<u64>,
+        sent: Time,
+        now: Time,
+    ) {
         let run = &mut self.runs[key];
         run.load = row.load;
-        if run.percent != row.percent {
-            run.percent = row.percent;
-            run.moved = now;
+        run.percent = row.percent;
+        if let Some(clock) = clock {
+            run.progress.see(clock, row.percent);
         }
         let task = run.task;
         let adopted = run.stage == Stage::Inherited;
         if matches!(run.stage, Stage::Inherited | Stage::Ordered) {
             run.stage = Stage::Running;
-            run.started.get_or_insert(now);
+            if !adopted {
+                run.started.get_or_insert(now);
+            }
             run.settled = Some(sent);
         }
         if row.checkpoint.is_some() {
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod report;
 mod run;
 mod store;
+mod straggler;
 mod tick;
 
 pub use engine::{
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -76,14 +76,7 @@
         let Some((avoid, attempt)) = state.map(|state| (state.avoid, state.attempt)) else {
             return false;
         };
-        let shape = &work.job.steps[usize::from(task.step)];
-        let (need, spread) = (shape.counted(), shape.spread);
-        let room = |key, runner: &Runner| {
-            runner.fits(need)
-                && spread.is_none_or(|spread| self.count(key, task.step()) < usize::from(spread))
-        };
-        let place = self.choose(task.step(), avoid, now, room);
-        let Some(place) = place else {
+        let Some(place) = self.choose_for(task, avoid, now) else {
             self.ask_advice(task.step(), now);
             return false;
         };
@@ -92,6 +85,48 @@
         true
     }
 
+    /// Plans a second run of a task beside its first one, if there is room that nobody waits for.
+    pub(super) fn place_second(&mut self, task: TaskKey, now: Time) {
+        let Some(work) = self.works.get(task.work) else {
+            return;
+        };
+        let idle = self.pools[self.queues[work.queue].pool].ready.is_empty();
+        let Some(state) = work.task(task.occurrence, task.step, task.index) else {
+            return;
+        };
+        if state.runs.len() != 1 || !idle {
+            return;
+        }
+        let (avoid, attempt) = (state.avoid, state.attempt);
+        let place = self.choose_for(task, avoid, now);
+        if let Some(place) = place.filter(|&place| Some(place) != avoid) {
+            let ticket = self.ticket(task.step(), place, now);
+            self.plan(task, place, attempt + 1, ticket, now);
+        }
+    }
+
+    /// Tells whether a task could run elsewhere than at `place`.
+    pub(super) fn has_room(&self, task: TaskKey, place: runner::Key, now: Time) -> bool {
+        let other = self.choose_for(task, Some(place), now);
+        other.is_some_and(|other| other != place)
+    }
+
+    /// Returns the best runner for a task that has room for it.
+    pub(super) fn choose_for(
+        &self,
+        task: TaskKey,
+        avoid: Option<runner::Key>,
+        now: Time,
+    ) -> Option<runner::Key> {
+        let shape = self.shape(task)?;
+        let (need, spread) = (shape.counted(), shape.spread);
+        let room = |key, runner: &Runner| {
+            runner.fits(need)
+                && spread.is_none_or(|spread| self.count(key, task.step()) < usize::from(spread))
+        };
+        self.choose(task.step(), avoid, now, room)
+    }
+
     /// Returns the best runner for a task of the step among those that have `room`.
     pub(super) fn choose(
         &self,
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -62,7 +62,7 @@
             stop_at: None,
             ticket,
             percent: 0,
-            moved: now,
+            progress: run::Progress::default(),
             load: 0,
             pace: 100,
             paced: Time::MIN,
--- a/crates/schedule/src/engine/tick.rs
+++ b/crates/schedule/src/engine/tick.rs
@@ -22,6 +22,7 @@
             self.repeat_stops(now);
             self.evict(now);
             self.pace(now);
+            self.relieve(now);
             self.manage_hosts(now);
             self.renew_tiers(now);
             self.place(now);
--- a/crates/schedule/src/queue/queue.rs
+++ b/crates/schedule/src/queue/queue.rs
@@ -21,6 +21,8 @@
     pub target: Duration,
     /// Runners have to be approved by the advice service.
     pub advised: bool,
+    /// Usual time of its tasks in percent of the callers' estimates.
+    pub ratio: u64,
     /// The configuration names it.
     pub configured: bool,
 }
--- a/crates/schedule/src/work/mod.rs
+++ b/crates/schedule/src/work/mod.rs
@@ -17,6 +17,7 @@
 };
 pub use work::{
     Advice,
+    Done,
     Occurrence,
     StepState,
     Work, //
--- a/crates/schedule/src/work/run.rs
+++ b/crates/schedule/src/work/run.rs
@@ -46,7 +46,7 @@
     pub stage: Stage,
     /// When it was planned.
     pub planned: Time,
-    /// When the start was confirmed.
+    /// When the start was confirmed; `None` for a run of a former leader.
     pub started: Option<Time>,
     /// When the latest order about it was answered; a look sent later shows it if it exists.
     pub settled: Option<Time>,
@@ -56,8 +56,8 @@
     pub ticket: Option<Arc<str>>,
     /// Progress or share at which it works, in percent, as last seen.
     pub percent: u8,
-    /// When the percentage last changed.
-    pub moved: Time,
+    /// What the runner's views have shown of the progress.
+    pub progress: Progress,
     /// Tail of the response times in milliseconds, or used processor time, as last seen.
     pub load: u64,
     /// Share in percent that was last ordered.
@@ -65,3 +65,39 @@
     /// When the share was last ordered.
     pub paced: Time,
 }
+
+/// What a runner's views have shown of the progress of a run, in milliseconds of its clock, so that delayed answers
+/// don't matter.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Time and percentage of the first view.
+    first: Option<(u64, u8)>,
+    /// Time of the latest view, and its percentage.
+    latest: (u64, u8),
+    /// Time of the latest view with another percentage than the one before.
+    moved: u64,
+}
+
+impl Progress {
+    /// Takes what a view showed.
+    pub fn see(&mut self, clock: u64, percent: u8) {
+        if self.first.is_none() || percent != self.latest.1 {
+            self.moved = clock;
+        }
+        self.first.get_or_insert((clock, percent));
+        self.latest = (clock, percent);
+    }
+
+    /// Returns for how long the percentage has not changed.
+    pub fn still(&self) -> Duration {
+        Duration::from_millis(self.latest.0.saturating_sub(self.moved))
+    }
+
+    /// Returns the time that the whole task takes, from two views that are at least `span` apart.
+    pub fn whole(&self, span: Duration) -> Option<Duration> {
+        let (since, first) = self.first?;
+        let seen = Duration::from_millis(self.latest.0.saturating_sub(since));
+        let gained = u32::from(self.latest.1.saturating_sub(first));
+        (seen >= span && gained > 0).then(|| seen * 100 / gained)
+    }
+}
--- a/crates/schedule/src/work/work.rs
+++ b/crates/schedule/src/work/work.rs
@@ -29,6 +29,15 @@
     pub refused: Vec<runner::Key>,
 }
 
+/// Tasks that are done, with their time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Done {
+    /// Number of tasks whose time is known.
+    pub count: u32,
+    /// Sum of their times.
+    pub spent: Duration,
+}
+
 /// A step of an occurrence.
 #[derive(Clone, Debug, Default)]
 pub struct StepState {
@@ -40,6 +49,8 @@
     pub opened: bool,
     /// What the advice service said.
     pub advice: Advice,
+    /// Tasks that are done, with their time.
+    pub done: Done,
 }
 
 /// One occurrence of a job.
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -8,3 +8,4 @@
 mod pace;
 mod place;
 mod rig;
+mod straggler;
--- a/crates/schedule/tests/engine/rig/carry.rs
+++ b/crates/schedule/tests/engine/rig/carry.rs
@@ -98,12 +98,13 @@
 
     fn start(&mut self, start: &order::Start) -> Report {
         let now = self.now;
+        let slow = self.slow.get(&*start.target.id).copied().unwrap_or(1);
         let order = Start {
             task: start.task.to_string(),
             attempt: start.attempt,
             until: start.until,
             fence: start.target.fence,
-            work: (self.work)(&start.task),
+            work: (self.work)(&start.task).map(|work| work * slow),
             fails: (self.fails)(&start.task, start.attempt, &start.target.id),
         };
         let answer = self.ask(&start.target, |worker| {
@@ -250,13 +251,11 @@
 
 fn view(worker: &Worker, load: &BTreeMap<String, u64>, now: Duration) -> View {
     let task = |name: &str| Task::try_from(name).expect("the worker keeps names as they are");
-    // A task that lasts is at work half a second after its start.
-    let at_work = |began: Duration| now >= began + Duration::from_millis(500);
     let running = worker.runs.iter().map(|run| Running {
         task: task(&run.task),
         attempt: run.attempt,
         checkpoint: None,
-        percent: if at_work(run.began) { 100 } else { 0 },
+        percent: run.percent(now),
         load: load.get(&run.task).copied().unwrap_or_default(),
     });
     let ended = worker.ends.iter().map(|end| Ended {
--- a/crates/schedule/tests/engine/rig/rig.rs
+++ b/crates/schedule/tests/engine/rig/rig.rs
@@ -56,6 +56,8 @@
     pub(crate) sites: BTreeMap<String, Site>,
     /// Runners that can't be reached.
     pub(crate) cut: BTreeSet<String>,
+    /// Runners on which tasks take this many times as long.
+    pub(crate) slow: BTreeMap<String, u32>,
     /// Hosts.
     pub(crate) hosts: Hosts,
     /// Response time in milliseconds that runners show for their tasks.
@@ -103,6 +105,7 @@
             now: Duration::ZERO,
             sites: BTreeMap::new(),
             cut: BTreeSet::new(),
+            slow: BTreeMap::new(),
             hosts: Hosts {
                 move_time: Duration::from_millis(1_500),
                 maintenance_time: Duration::from_millis(2_000),
@@ -223,6 +226,19 @@
         names
     }
 
+    /// Returns the pairs of runs of the same task that overlapped.
+    pub(crate) fn overlaps(&self) -> usize {
+        let ended = self.sites.values().flat_map(|site| &site.worker.history);
+        let mut runs: Vec<_> = ended.map(|run| (&run.task, run.began, run.ended)).collect();
+        let live = self.sites.values().flat_map(|site| &site.worker.runs);
+        runs.extend(live.map(|run| (&run.task, run.began, Duration::MAX)));
+        runs.sort_unstable();
+        let overlap = |pair: &&[(&String, Duration, Duration)]| {
+            pair[0].0 == pair[1].0 && pair[1].1 < pair[0].2
+        };
+        runs.windows(2).filter(overlap).count()
+    }
+
     /// Returns the number of tasks that run anywhere.
     pub(crate) fn count(&self) -> usize {
         self.sites.values().map(|site| site.worker.runs.len()).sum()
--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -61,6 +61,20 @@
     fails: bool,
 }
 
+impl Run {
+    /// Returns its progress in percent; a run that lasts is at work half a second after its beginning.
+    pub fn percent(&self, now: Duration) -> u8 {
+        let spent = now.saturating_sub(self.began);
+        match self.ends {
+            None => 100 * u8::from(spent >= Duration::from_millis(500)),
+            Some(ends) => {
+                let whole = (ends - self.began).as_micros().max(1);
+                (spent.as_micros() * 100 / whole).min(100) as u8
+            }
+        }
+    }
+}
+
 /// An end that is listed.
 #[derive(Clone, Debug)]
 pub struct End {
