fix(schedule): limit restarts of slow runs and the runners that rest

Change: a task is restarted twice at most for the sake of time, a quarter of a pool rests at most, and the time without progress grows with the usual time of the task.

The new test of `schedule` fails without the limits.

--- a/crates/control/tests/world/event.rs
+++ b/crates/control/tests/world/event.rs
@@ -329,7 +329,7 @@
             }
             Order::Look(look) => {
                 let held = worker.hold(look.until, look.target.fence, look.acknowledged, now);
-                let result = held.map(|()| view(worker)).map_err(refusal);
+                let result = held.map(|()| view(worker, now)).map_err(refusal);
                 Report::Look {
                     runner: look.target.runner,
                     acknowledged: look.acknowledged,
@@ -447,13 +447,13 @@
     }
 }
 
-fn view(worker: &sassafrascrank_standin::cluster::Worker) -> View {
+fn view(worker: &sassafrascrank_standin::cluster::Worker, now: Duration) -> View {
     let task = |name: &str| id::Task::try_from(name).expect("the worker keeps names as they are");
     let running = worker.runs.iter().map(|run| Running {
         task: task(&run.task),
         attempt: run.attempt,
         checkpoint: None,
-        percent: 50,
+        percent: run.percent(now),
         load: 0,
     });
     let ended = worker.ends.iter().map(|end| Ended {
--- a/crates/schedule/src/engine/straggler.rs
+++ b/crates/schedule/src/engine/straggler.rs
@@ -27,8 +27,12 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time between two views of a run from which its speed is taken.
 const SPAN: Duration = Duration::from_millis(150);
-/// Time without progress after which a run stands still.
+/// Time without progress after which a run stands still, and the same as a part of the usual time of the task, in
+/// percent: progress is shown in whole percent, so that long tasks seldom show any.
 const STILL: Duration = Duration::from_millis(600);
+const STILL_PART: u32 = 4;
+/// Restarts of a task for the sake of time. A runner whose figures are wrong would otherwise keep a task from its end.
+const RESTARTS: u8 = 2;
 /// Multiple of the usual time, in percent, at which a runner is slow. Single tasks of a step take up to four times as
 /// long as others.
 const SLOW: u64 = 350;
@@ -39,6 +43,8 @@
 const REST: Duration = Duration::from_millis(1_500);
 /// Limit on that growth, in doublings.
 const REST_DOUBLINGS: u32 = 2;
+/// Part of a pool that may rest at once, as a divisor; a pool that is slow as a whole is better than none.
+const REST_SHARE: usize = 4;
 /// Time that a restart has to gain at least.
 const GAIN: Duration = Duration::from_millis(200);
 /// Weight of a new sample, as a divisor, in the usual ratio of a queue's actual times to the callers' estimates.
@@ -166,12 +172,13 @@
         if !steady || run.stage != Stage::Running {
             return None;
         }
-        let still = run.progress.still() >= STILL;
+        let usual = self.usual(run, shape)?;
+        let still = run.progress.still() >= STILL.max(usual * STILL_PART / 100);
         let whole = run.progress.whole(SPAN);
         (still || whole.is_some()).then_some(Pace {
             run: key,
             whole: whole.filter(|_| !still),
-            usual: self.usual(run, shape)?,
+            usual,
             done: run.percent,
         })
     }
@@ -216,8 +223,13 @@
 
     /// Lets a runner rest, unless it does already.
     fn rest(&mut self, key: runner::Key, cause: Cause, now: Time) {
+        let pool = &self.pools[self.runners[key].pool].runners;
+        let resting = pool
+            .iter()
+            .filter(|&&other| now < self.runners[other].quarantine);
+        let full = resting.count() >= pool.len().div_ceil(REST_SHARE);
         let runner = &mut self.runners[key];
-        if now < runner.quarantine {
+        if full || now < runner.quarantine {
             return;
         }
         let doublings = runner.quarantines.min(REST_DOUBLINGS);
@@ -239,15 +251,19 @@
         if pace.left() < delay + pace.again(cause) + GAIN {
             return;
         }
-        let Some(work) = self.works.get_mut(task.work) else {
+        if !speculative && !self.has_room(task, place, now) {
             return;
-        };
-        if let Some(state) = work.task_mut(task.occurrence, task.step, task.index) {
-            state.avoid = Some(place);
         }
+        let work = self.works.get_mut(task.work);
+        let state = work.and_then(|work| work.task_mut(task.occurrence, task.step, task.index));
+        let Some(state) = state.filter(|state| state.restarts < RESTARTS) else {
+            return;
+        };
+        state.avoid = Some(place);
         if speculative {
             self.place_second(task, now);
-        } else if self.has_room(task, place, now) {
+        } else {
+            state.restarts += 1;
             self.stop(pace.run, cause.as_str(), now);
         }
     }
--- a/crates/schedule/src/work/task.rs
+++ b/crates/schedule/src/work/task.rs
@@ -31,8 +31,10 @@
     pub checkpoint: Option<Arc<str>>,
     /// Its runs that have not ended; more than one only if it is speculative.
     pub runs: Vec<run::Key>,
-    /// Runner on which it last failed.
+    /// Runner on which it last failed or was slow.
     pub avoid: Option<runner::Key>,
+    /// Times that it was started again because its run was slow.
+    pub restarts: u8,
 }
 
 impl Task {
--- a/crates/schedule/tests/engine/rig/carry.rs
+++ b/crates/schedule/tests/engine/rig/carry.rs
@@ -137,10 +137,12 @@
     fn look(&mut self, look: &order::Look) -> Report {
         let now = self.now;
         let load = self.load.clone();
+        let frozen = self.frozen;
         let answer = self.ask(&look.target, |worker| {
             let fence = look.target.fence;
             let held = worker.hold(look.until, fence, look.acknowledged, now);
-            held.map(|()| view(worker, &load, now)).map_err(failure)
+            held.map(|()| view(worker, &load, frozen, now))
+                .map_err(failure)
         });
         Report::Look {
             runner: look.target.runner,
@@ -249,13 +251,13 @@
     }
 }
 
-fn view(worker: &Worker, load: &BTreeMap<String, u64>, now: Duration) -> View {
+fn view(worker: &Worker, load: &BTreeMap<String, u64>, frozen: bool, now: Duration) -> View {
     let task = |name: &str| Task::try_from(name).expect("the worker keeps names as they are");
     let running = worker.runs.iter().map(|run| Running {
         task: task(&run.task),
         attempt: run.attempt,
         checkpoint: None,
-        percent: run.percent(now),
+        percent: if frozen { 50 } else { run.percent(now) },
         load: load.get(&run.task).copied().unwrap_or_default(),
     });
     let ended = worker.ends.iter().map(|end| Ended {
--- a/crates/schedule/tests/engine/rig/rig.rs
+++ b/crates/schedule/tests/engine/rig/rig.rs
@@ -58,6 +58,8 @@
     pub(crate) cut: BTreeSet<String>,
     /// Runners on which tasks take this many times as long.
     pub(crate) slow: BTreeMap<String, u32>,
+    /// Runners show no progress.
+    pub(crate) frozen: bool,
     /// Hosts.
     pub(crate) hosts: Hosts,
     /// Response time in milliseconds that runners show for their tasks.
@@ -106,6 +108,7 @@
             sites: BTreeMap::new(),
             cut: BTreeSet::new(),
             slow: BTreeMap::new(),
+            frozen: false,
             hosts: Hosts {
                 move_time: Duration::from_millis(1_500),
                 maintenance_time: Duration::from_millis(2_000),
--- a/crates/schedule/tests/engine/straggler.rs
+++ b/crates/schedule/tests/engine/straggler.rs
@@ -74,3 +74,16 @@
     assert_eq!(rig.timeline().matches("start").count(), 3);
     assert_eq!(ended(&rig), 1);
 }
+
+/// Guards against tasks that are restarted for ever, and a pool that rests as a whole, because runners show no progress.
+#[test]
+fn tasks_end_although_runners_show_no_progress() {
+    let mut rig = Rig::new(4, 1);
+    rig.frozen = true;
+    rig.work = |_| Some(Duration::from_millis(2_000));
+    for id in 1..=4 {
+        rig.submit(id, vec![small()]);
+    }
+    rig.run(20_000);
+    assert_eq!(ended(&rig), 4, "{}", rig.timeline());
+}
