feat(trace): share a line between tasks of a job, and keep room for the rest

Cause: each task wrote a line when placed, started and ended.

Lines of requests and tasks leave a quarter of a burst to others. A new leader no longer lists every runner. Requests name their verb. The age of a runner that was never seen is zero instead of the time since 1970.

--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -96,6 +96,8 @@
     pub(super) writing: bool,
     /// When the last append of the leader was handed over.
     pub(super) wrote: Time,
+    /// When the decisions of the scheduler were last passed on.
+    pub(super) noted: Time,
     pub(super) ready: bool,
     /// The process ends.
     pub(super) stopping: bool,
@@ -132,6 +134,7 @@
             predecessor_heard: Time::MIN,
             writing: false,
             wrote: Time::MIN,
+            noted: Time::MIN,
             ready: false,
             stopping: false,
             out: Output::default(),
--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -1,6 +1,9 @@
 //! Claiming, leading, and giving up.
 
-use super::Control;
+use super::{
+    Control,
+    output, //
+};
 use crate::store;
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
@@ -25,6 +28,8 @@
 pub(crate) const FOLLOWER_PACE: Duration = Duration::from_millis(300);
 /// Shortest time between two appends of the leader, in which decisions gather.
 const WRITE_PACE: Duration = Duration::from_millis(15);
+/// Time in which decisions gather that share a line.
+const NOTE_PACE: Duration = Duration::from_millis(100);
 /// Time for which the state of an ended job is kept.
 const RETENTION: Duration = Duration::from_secs(300);
 /// Ended jobs that are forgotten with one append.
@@ -147,6 +152,8 @@
         for listed in self.runners.values() {
             engine.list(runner::Change::Set(listed.clone()), now);
         }
+        // The runners are not news, and the event below has their number.
+        engine.take_notes();
         for (_, entry) in self.book.jobs() {
             engine.inherit(entry, wall, now);
         }
@@ -187,12 +194,20 @@
                 order => self.out.orders.push(order),
             }
         }
-        for note in engine.take_notes() {
-            self.out.events.push(super::output::event(note));
+        if now >= self.noted + NOTE_PACE {
+            self.flush_notes(now);
         }
         self.write(now);
     }
 
+    /// Passes on what the scheduler has decided since the last time.
+    fn flush_notes(&mut self, now: Time) {
+        self.noted = now;
+        if let Some(engine) = &mut self.engine {
+            self.out.events.extend(output::events(engine.take_notes()));
+        }
+    }
+
     /// Appends what the log lacks, or a record that shows that the leader lives.
     fn write(&mut self, now: Time) {
         if self.writing || now < self.wrote + WRITE_PACE {
@@ -252,6 +267,7 @@
     pub(super) fn lose_role(&mut self, reason: &'static str, now: Time) {
         let event = Event::new("role-lost", now).with("reason", Value::Word(reason));
         self.out.events.push(event);
+        self.flush_notes(now);
         self.seat.step_down(now);
         self.follow();
     }
@@ -273,6 +289,7 @@
     pub fn stop(&mut self, now: Time) {
         self.stopping = true;
         self.out.events.push(Event::new("stopping", now));
+        self.flush_notes(now);
         let Some(epoch) = self.seat.retire() else {
             return;
         };
--- a/crates/control/src/control/output.rs
+++ b/crates/control/src/control/output.rs
@@ -4,7 +4,15 @@
     front,
     store, //
 };
-use sassafrascrank_schedule::Order;
+use sassafrascrank_schedule::{
+    Note, Order,
+    note::{
+        self,
+        Group,
+        Kind,
+        Subject, //
+    },
+};
 use sassafrascrank_trace::{
     Event,
     Value, //
@@ -23,24 +31,42 @@
     pub events: Vec<Event>,
 }
 
-/// Returns the event of a note.
-pub(super) fn event(note: sassafrascrank_schedule::Note) -> Event {
-    let mut event = Event::new(note.kind.as_str(), note.at)
-        .with("reason", Value::Word(note.reason))
-        .with("age", Value::Span(note.age));
-    if let Some(job) = note.job {
-        event = event.with("job", Value::Id(job.0));
+/// Returns the events of notes. Those on tasks are many, and the first to be left out under load.
+pub(super) fn events(notes: Vec<Note>) -> impl Iterator<Item = Event> {
+    note::group(notes).into_iter().map(event)
+}
+
+fn event(group: Group) -> Event {
+    let mut event = Event::new(group.kind.as_str(), group.at)
+        .with("reason", Value::Word(group.reason))
+        .with("age", Value::Span(group.age))
+        .times(group.count());
+    if let Some(job) = group.job {
+        event = event.with("job", Value::Id(job.0)).routine();
     }
-    if let Some(task) = note.task {
-        let position = task.position;
-        let text = format!(
-            "{}.{}.{}#{}",
-            position.occurrence, position.step, position.index, note.attempt
-        );
-        event = event.with("task", Value::Text(text.into()));
+    if !group.subjects.is_empty() {
+        let tasks: Vec<String> = group.subjects.iter().map(subject).collect();
+        event = event.with("tasks", Value::Text(tasks.join(" ").into()));
     }
-    if let Some(place) = note.place {
+    if let Some(place) = group.place {
         event = event.with("place", Value::Text(place));
     }
-    event
+    // The start that follows has a line of its own, with the time since this decision.
+    match group.kind {
+        Kind::Placed => event.quiet(),
+        _ => event,
+    }
+}
+
+/// Returns a task as `occurrence.step.index#attempt@runner`.
+fn subject(subject: &Subject) -> String {
+    let position = subject.task.position;
+    format!(
+        "{}.{}.{}#{}@{}",
+        position.occurrence,
+        position.step,
+        position.index,
+        subject.attempt,
+        subject.place.as_deref().unwrap_or_default()
+    )
 }
--- a/crates/control/src/front/exchange.rs
+++ b/crates/control/src/front/exchange.rs
@@ -157,11 +157,13 @@
     pub(super) async fn answer(&self, request: hyper::Request<Incoming>) -> Response<Full<Bytes>> {
         let started = self.clock.now();
         let (head, body) = request.into_parts();
-        let (reply, id) = match self.dialect.call(&head) {
+        let call = self.dialect.call(&head);
+        let verb = call.as_ref().map_or("other", |call| call.verb.as_str());
+        let (reply, id) = match call {
             Ok(call) => self.handle(call, body, started).await,
             Err(reason) => (Reply::Problem(Problem::Malformed, reason), None),
         };
-        self.record(&reply, id, started);
+        self.record(verb, &reply, id, started);
         self.dialect.answer(&reply)
     }
 
@@ -239,7 +241,7 @@
         }
     }
 
-    fn record(&self, reply: &Reply, id: Option<Id>, started: Time) {
+    fn record(&self, verb: &'static str, reply: &Reply, id: Option<Id>, started: Time) {
         let word = match reply {
             Reply::Done => "done",
             Reply::State(_) => "state",
@@ -255,7 +257,9 @@
         let now = self.clock.now();
         let mut event = Event::new("request", now)
             .with("result", Value::Word(word))
-            .with("took", Value::Span(now.since(started)));
+            .with("verb", Value::Word(verb))
+            .with("took", Value::Span(now.since(started)))
+            .routine();
         if let Some(id) = id {
             event = event.with("job", Value::Id(id.0));
         }
--- a/crates/control/src/port/dialect.rs
+++ b/crates/control/src/port/dialect.rs
@@ -25,6 +25,17 @@
     Cancel,
 }
 
+impl Verb {
+    /// Returns the name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Submit => "submit",
+            Self::Cancel => "cancel",
+        }
+    }
+}
+
 /// The head of a request.
 #[derive(Clone, Debug)]
 pub struct Call {
--- a/crates/schedule/src/engine/look.rs
+++ b/crates/schedule/src/engine/look.rs
@@ -282,7 +282,12 @@
         runner.look_at = now + retry;
         if runner.misses == 1 {
             let id = runner.id.clone();
-            let age = now.since(runner.looked);
+            let seen = runner.looked > Time::MIN;
+            let age = if seen {
+                now.since(runner.looked)
+            } else {
+                Duration::ZERO
+            };
             let note = Note::new(Kind::RunnerLost, failure.as_str(), now);
             self.note(note.with_place(&id).with_age(age));
         }
--- a/crates/schedule/src/note/mod.rs
+++ b/crates/schedule/src/note/mod.rs
@@ -1,7 +1,13 @@
 //! What the engine decided, for logs and metrics.
 
+mod group;
 mod note;
 
+pub use group::{
+    Group,
+    Subject,
+    group, //
+};
 pub use note::{
     Kind,
     Note, //
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -5,6 +5,7 @@
 mod fail;
 mod host;
 mod lease;
+mod note;
 mod pace;
 mod place;
 mod rig;
--- /dev/null
+++ b/crates/schedule/tests/engine/note.rs
@@ -0,0 +1,58 @@
+//! Notes that say the same about several tasks of a job.
+
+use crate::rig::EPOCH;
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::{
+    Id,
+    id::{
+        Position,
+        Task, //
+    },
+};
+use sassafrascrank_schedule::{
+    Note,
+    note::{
+        self,
+        Kind, //
+    },
+};
+use std::fmt::Write;
+
+fn note(kind: Kind, reason: &'static str, job: u64, index: u16) -> Note {
+    let position = Position {
+        occurrence: 0,
+        step: 1,
+        index,
+    };
+    let job = Id(job);
+    Note::new(kind, reason, EPOCH)
+        .with_task(Task { job, position }, 1)
+        .with_place(&format!("r{}", index % 3).into())
+        .with_age(Duration::from_millis(u64::from(index)))
+}
+
+/// Guards against a line for each task, of which most are left out under load, and against a line without bound.
+#[test]
+fn notes_on_tasks_of_a_job_share_a_line() {
+    let mut notes: Vec<Note> = (0..30)
+        .map(|index| note(Kind::Started, "answered", 1, index))
+        .collect();
+    notes.push(Note::new(Kind::RunnerLost, "unknown", EPOCH).with_place(&"r9".into()));
+    notes.extend((0..2).map(|index| note(Kind::Started, "answered", 2, index)));
+    notes.push(note(Kind::Ended, "done", 1, 0));
+    notes.push(note(Kind::Ended, "failed", 1, 1));
+    notes.push(Note::new(Kind::RunnerLost, "unknown", EPOCH).with_place(&"r8".into()));
+    let mut table = String::new();
+    for group in note::group(notes) {
+        let job = group.job.map_or(0, |job| job.0);
+        let kind = group.kind.as_str();
+        let count = group.count();
+        let (reason, age, place) = (group.reason, group.age, group.place);
+        writeln!(
+            table,
+            "{kind} {reason} job {job}: {count}, age {age:?}, place {place:?}"
+        )
+        .unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
--- a/crates/trace/src/event.rs
+++ b/crates/trace/src/event.rs
@@ -31,6 +31,10 @@
     pub name: &'static str,
     /// It is only counted.
     pub quiet: bool,
+    /// Its line is among the first to be left out under load.
+    pub routine: bool,
+    /// How often it has happened.
+    pub count: u64,
     fields: [Option<(&'static str, Value)>; FIELD_LIMIT],
 }
 
@@ -41,6 +45,8 @@
             at,
             name,
             quiet: false,
+            routine: false,
+            count: 1,
             fields: Default::default(),
         }
     }
@@ -59,6 +65,18 @@
         self
     }
 
+    /// Makes it an event whose line is among the first to be left out under load.
+    pub fn routine(mut self) -> Self {
+        self.routine = true;
+        self
+    }
+
+    /// Sets how often it has happened.
+    pub fn times(mut self, count: u64) -> Self {
+        self.count = count;
+        self
+    }
+
     /// Returns the first duration among the fields.
     pub fn span(&self) -> Option<Duration> {
         self.fields
--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -5,6 +5,9 @@
 /// Lines that are written at once after a pause.
 const BURST: f64 = 2_000.0;
 
+/// Tokens that lines of routine leave to others.
+const RESERVE: f64 = 500.0;
+
 /// A token bucket of log lines.
 #[derive(Clone, Debug)]
 pub struct Limiter {
@@ -26,12 +29,13 @@
         }
     }
 
-    /// Tells whether a line may be written, and how many were left out before it.
-    pub fn admit(&mut self, now: Time) -> Option<u64> {
+    /// Tells whether a line may be written, and how many were left out before it. Lines of routine leave a reserve.
+    pub fn admit(&mut self, routine: bool, now: Time) -> Option<u64> {
         let gained = now.since(self.refilled).as_secs_f64() * self.rate;
         self.tokens = (self.tokens + gained).min(BURST);
         self.refilled = now;
-        if self.tokens < 1.0 {
+        let least = if routine { RESERVE } else { 0.0 };
+        if self.tokens < least + 1.0 {
             self.suppressed += 1;
             return None;
         }
--- a/crates/trace/src/metrics.rs
+++ b/crates/trace/src/metrics.rs
@@ -82,7 +82,7 @@
     pub fn count(&self, event: &Event) {
         let name = KeyValue::new("event", event.name);
         let reason = KeyValue::new("reason", event.word().unwrap_or("none"));
-        self.events.add(1, &[name.clone(), reason]);
+        self.events.add(event.count, &[name.clone(), reason]);
         if let Some(span) = event.span() {
             self.durations.record(span.as_secs_f64(), &[name]);
         }
--- a/crates/trace/src/thread.rs
+++ b/crates/trace/src/thread.rs
@@ -44,8 +44,8 @@
 
 /// Time between two batches, so that producers don't pay for a wake-up at each event.
 const BATCH_INTERVAL: Duration = Duration::from_millis(50);
-/// Log lines a second. At 150 bytes each, a day of it fills about 5 GB.
-const LINE_RATE: f64 = 400.0;
+/// Log lines a second. At 200 bytes each, a day of it fills about 10 GB.
+const LINE_RATE: f64 = 600.0;
 /// Time for the head of a request for metrics.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -141,7 +141,7 @@
     }
 
     fn write(&mut self, event: &Event, now: Time) {
-        let Some(suppressed) = self.limiter.admit(now) else {
+        let Some(suppressed) = self.limiter.admit(event.routine, now) else {
             self.metrics.suppress();
             return;
         };
--- /dev/null
+++ b/crates/trace/tests/lines.rs
@@ -0,0 +1,44 @@
+//! Lines and their bound.
+
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_trace::{
+    Event,
+    Limiter,
+    Value, //
+};
+
+const START: Time = Time::from_millis(1_000_000);
+
+/// Guards against a line that is not one JSON object, or lacks a field of the event.
+#[test]
+fn event_is_one_json_object() {
+    let event = Event::new("run-lost", START)
+        .with("reason", Value::Word("lease-ended"))
+        .with("age", Value::Span(Duration::from_micros(1_250)))
+        .with("job", Value::Id(0xab))
+        .with("tasks", Value::Text("0.1.2#1@\"quoted\"".into()))
+        .with("count", Value::Count(3));
+    let line = event.line("entry-1");
+    let parsed: serde_json::Value = serde_json::from_str(&line).expect("a line is valid JSON");
+    insta::assert_snapshot!(line);
+    assert_eq!(parsed["tasks"], "0.1.2#1@\"quoted\"");
+}
+
+/// Guards against lines of single tasks that crowd out those on leaders and runners, and against lines without bound.
+#[test]
+fn lines_of_routine_leave_a_reserve() {
+    let mut limiter = Limiter::new(600.0, START);
+    let mut written = [0, 0];
+    // Ten seconds with 2,000 lines of routine and 20 others each second.
+    for step in 0..1_000 {
+        let now = START + Duration::from_millis(10 * step);
+        for _ in 0..20 {
+            written[0] += u32::from(limiter.admit(true, now).is_some());
+        }
+        if step % 5 == 0 {
+            written[1] += u32::from(limiter.admit(false, now).is_some());
+        }
+    }
+    insta::assert_debug_snapshot!(written);
+    assert_eq!(written[1], 200);
+}
