fix(lead): take no record from before an outage for a sign of life

The first read showed the last records from before the outage, which counted as just written, so followers waited 1.5 s instead of 0.7 s for a leader that was cut off: the claim came 1.6 s after the log.

Change: records that are read after an outage count as written before it.

--- a/crates/lead/src/seat/seat.rs
+++ b/crates/lead/src/seat/seat.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Returns when the last record of any leader was read.
+    /// Returns when the last record of any leader was written, at the least.
     pub fn heard_at(&self) -> Time {
         self.heard_at
     }
@@ -140,7 +140,9 @@
             self.due = None;
         }
         self.heard = Some(heard);
-        self.heard_at = now;
+        // After an outage the first records are from before it, as far as is known.
+        let away = self.read_at > Time::MIN && now.since(self.read_at) > self.rules.tenure;
+        self.heard_at = self.heard_at.max(if away { self.read_at } else { now });
         match self.role {
             Role::Leader { epoch } | Role::Candidate { epoch } if heard.epoch > epoch => {
                 self.role = Role::Follower;
--- a/crates/lead/tests/seat.rs
+++ b/crates/lead/tests/seat.rs
@@ -126,3 +126,25 @@
     seat.read(true, START, START + READ / 5);
     assert_eq!(seat.claim(START + READ), Claim::Wait);
 }
+
+/// Guards against followers that take records from before an outage, which they read after it, for a sign of life.
+#[test]
+fn records_from_before_an_outage_are_no_sign_of_life() {
+    let mut seat = Seat::new(Rules::default(), 0, 250, START);
+    seat.read(true, START, START);
+    seat.hear(record(1 << 16, 250), START);
+    let back = START + Duration::from_secs(6);
+    seat.hear(record(1 << 16, 250), back);
+    let mut now = back;
+    let mut claim = Claim::Wait;
+    while !matches!(claim, Claim::Append(_)) {
+        seat.read(true, now, now);
+        claim = seat.claim(now);
+        now = now + READ;
+    }
+    assert!(
+        now.since(back) < Rules::default().silence,
+        "{:?}",
+        now.since(back)
+    );
+}
