--- a/crates/standin/src/cluster/cluster.rs
+++ b/crates/standin/src/cluster/cluster.rs
@@ -126,6 +126,19 @@
         Some(value["state"].as_str()?.to_owned())
     }
 
+    /// Returns the address of the log and the host service.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of runs whose tasks' names have a prefix.
+    pub fn running(&self, prefix: &str) -> usize {
+        let state = lock(&self.state);
+        let workers = state.sites.values().filter_map(|site| site.worker.as_ref());
+        let runs = workers.flat_map(|worker| &worker.runs);
+        runs.filter(|run| run.task.starts_with(prefix)).count()
+    }
+
     /// Returns all runs that have ended.
     pub fn history(&self) -> Vec<Interval> {
         let state = lock(&self.state);
--- a/crates/tool/src/cli/error.rs
+++ b/crates/tool/src/cli/error.rs
@@ -2,6 +2,7 @@
 
 use super::Exit;
 use sassafrascrank_base::name::Name;
+use sassafrascrank_job::Id;
 use std::path::PathBuf;
 
 /// What the tool was doing when it failed.
@@ -32,6 +33,12 @@
     /// The fleet can't be read from the platform.
     #[error("can't read the fleet; name the address of a platform that runs")]
     Fleet,
+    /// The jobs can't be read from the log.
+    #[error("can't read the jobs; name the address of a log that answers")]
+    Log,
+    /// The log has no job of this identity.
+    #[error("the log has no job {0}; check the id, jobs are kept for 5 min after their end")]
+    NoJob(Id),
     /// The fleet has no host or pool of this name.
     #[error("there is no {kind} {name}; see sassafrascrank {kind}s --help")]
     Missing {
--- a/crates/tool/src/cli/run.rs
+++ b/crates/tool/src/cli/run.rs
@@ -10,6 +10,7 @@
     departure,
     digest,
     hosts,
+    jobs,
     key,
     plan,
     pools,
@@ -49,6 +50,7 @@
   check     check a configuration document or a settings file
   plan      show what a configuration document would change
   publish   put a configuration document into force
+  jobs      show jobs, their leader and waves, or explain a job or a host
   hosts     show the hosts of the fleet
   pools     show the pools with their availability and budgets
   why       explain the state of a host, a pool or the wave
@@ -102,6 +104,7 @@
         "check" => check::run(&mut parser, output),
         "publish" => publish::run(&mut parser, output),
         "plan" => plan::run(&mut parser, output),
+        "jobs" => jobs::run(&mut parser, output),
         "hosts" => hosts::run(&mut parser, output),
         "pools" => pools::run(&mut parser, output),
         "why" => why::run(&mut parser, output),
--- a/crates/tool/src/demo/demo.rs
+++ b/crates/tool/src/demo/demo.rs
@@ -5,6 +5,7 @@
         Deployment,
         credential, //
     },
+    jobs,
     load::Load,
     plan::{
         ENTRIES,
@@ -57,8 +58,11 @@
 ledger work that it can run; then one entry shuts down under load.
 
 Usage: sassafrascrank demo [OPTIONS]
+       sassafrascrank demo --jobs [--json]
 
 Options:
+  --jobs       instead, run 3 entries that accept jobs on a stand-in of the users' platform with 12 hosts: all hosts are
+               maintained and the leader stops while jobs run; then show what was kept
   --seconds N  seconds of load after a warm-up of 2.5 s, 5 to 60 [default: 8]
   --seed N     seed of the times between requests [default: 1]
   --json       print JSON
@@ -69,6 +73,11 @@
 ";
 
 const USAGE: Error = Error::Usage("demo ");
+const JOBS_INTRODUCTION: &str = "\
+3 entries and 12 hosts on loopback addresses. 160 jobs come in 8 s; a job of 4 lasting tasks runs beside them. After 32
+jobs all hosts are due for maintenance, 3 at once; after 80 jobs the entry that leads stops.
+
+";
 /// Least and most seconds of serving without load.
 const SERVE_SECONDS: core::ops::RangeInclusive<u64> = 1..=3_600;
 /// Longest time until the entries have the contracts in force, see invariant `config`.
@@ -83,12 +92,14 @@
     let mut plan = Plan::default();
     let mut as_json = false;
     let mut serving = None;
+    let mut with_jobs = false;
     while let Some(argument) = parser.next().change_context(USAGE)? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return print(output, HELP),
             Arg::Long("seconds") => plan.seconds = value(parser, &USAGE)?,
             Arg::Long("seed") => plan.seed = value(parser, &USAGE)?,
             Arg::Long("json") => as_json = true,
+            Arg::Long("jobs") => with_jobs = true,
             Arg::Long("serve") => serving = Some(value(parser, &USAGE)?),
             other => return Err(unexpected(USAGE, other)),
         }
@@ -100,6 +111,9 @@
     // The lines of both entries would stand between the figures.
     let errors = LevelFilter::MoreSevereEqual(Level::Error);
     spdlog::default_logger().set_level_filter(errors);
+    if with_jobs {
+        return run_jobs(as_json, output);
+    }
     if let Some(seconds) = serving {
         return serve(plan.seed, seconds, output);
     }
@@ -118,6 +132,24 @@
     })
 }
 
+/// Runs the demo of jobs.
+fn run_jobs<O: Write>(as_json: bool, output: &mut O) -> Result<Exit, Report<Error>> {
+    if !as_json {
+        print(output, JOBS_INTRODUCTION)?;
+    }
+    let summary = block_on(jobs::run())??;
+    let text = match as_json {
+        true => serde_json::to_string_pretty(&summary).change_context(Error::Demo)? + "\n",
+        false => summary.to_string(),
+    };
+    print(output, &text)?;
+    Ok(if summary.is_kept() {
+        Exit::Done
+    } else {
+        Exit::Failed
+    })
+}
+
 fn introduction(plan: &Plan) -> String {
     format!(
         "2 entries and 4 runners with 8 slots, on loopback addresses; 2.5 s of warm-up and {} s of load.\n\
--- a/crates/tool/src/demo/mod.rs
+++ b/crates/tool/src/demo/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod demo;
 mod deployment;
+pub mod jobs;
 mod load;
 mod plan;
 pub mod report;
--- /dev/null
+++ b/crates/tool/src/jobs/host.rs
@@ -0,0 +1,73 @@
+//! What the log holds of one host.
+
+use super::State;
+use core::fmt::{
+    self,
+    Display,
+    Formatter, //
+};
+
+/// What the log holds of one host.
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
+pub struct Host {
+    name: String,
+    /// Attempts that may run there: job, task, attempt and runner.
+    runs: Vec<String>,
+    /// When a leader last ordered it to move or to its maintenance, Unix milliseconds; kept for some seconds.
+    ordered: Option<u64>,
+    /// Waves in which its maintenance has begun.
+    waves: Vec<u64>,
+}
+
+impl Host {
+    /// Returns what the log holds of a host.
+    pub fn of(state: &State, name: &str) -> Self {
+        let mut runs = Vec::new();
+        for (_, entry) in state.book.jobs() {
+            let tasks = entry.progress.iter().flat_map(|progress| &progress.tasks);
+            for task in tasks {
+                let here = task.assignments.iter().filter(|place| *place.host == *name);
+                let position = task.position;
+                runs.extend(here.map(|place| {
+                    format!(
+                        "{} {}.{}.{} attempt {} at {}",
+                        entry.id,
+                        position.occurrence,
+                        position.step,
+                        position.index,
+                        place.attempt,
+                        place.runner
+                    )
+                }));
+            }
+        }
+        runs.sort_unstable();
+        let ordered = state.book.ordered().hosts.iter();
+        let ordered = ordered.filter(|(host, _)| **host == *name);
+        let waves = state.book.waves().values();
+        let waves = waves.filter(|wave| wave.begun.iter().any(|host| **host == *name));
+        Self {
+            name: name.to_owned(),
+            runs,
+            ordered: ordered.map(|(_, at)| at.as_millis()).max(),
+            waves: waves.map(|wave| wave.number).collect(),
+        }
+    }
+}
+
+impl Display for Host {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(f, "host {}: {} runs", self.name, self.runs.len())?;
+        for run in &self.runs {
+            writeln!(f, "  {run}")?;
+        }
+        if let Some(ordered) = self.ordered {
+            writeln!(f, "ordered to move or to its maintenance at {ordered} ms")?;
+        }
+        for wave in &self.waves {
+            writeln!(f, "its maintenance in wave {wave} has begun")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/tool/src/lib.rs
+++ b/crates/tool/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod digest;
 pub mod fleet;
 pub mod hosts;
+pub mod jobs;
 pub mod key;
 pub mod plan;
 pub mod pools;
--- a/crates/tool/tests/command.rs
+++ b/crates/tool/tests/command.rs
@@ -11,7 +11,7 @@
     let mut report = String::new();
     let verbs = [
         "demo", "check", "plan", "publish", "hosts", "pools", "why", "wave", "move", "drain",
-        "status", "timeline", "key", "digest",
+        "status", "timeline", "key", "digest", "jobs",
     ];
     writeln!(report, "{}", run(&["--help"], "")).unwrap();
     for verb in verbs {
--- /dev/null
+++ b/crates/tool/tests/jobs.rs
@@ -0,0 +1,192 @@
+//! What the verb `jobs` shows of the log, and what the demo of jobs counts as kept.
+
+use core::time::Duration;
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::{
+    id::Position,
+    prelude::*,
+    progress::{
+        self,
+        Assignment, //
+    },
+    record,
+};
+use sassafrascrank_standin::cluster::Interval;
+use sassafrascrank_tool::{
+    demo::jobs::{
+        Kept,
+        Summary, //
+    },
+    jobs::{
+        Host,
+        Job as Shown,
+        Overview,
+        State, //
+    },
+};
+use std::sync::Arc;
+
+const START: Time = Time::from_millis(1_700_000_000_000);
+
+fn job(id: u64, queue: &str) -> Record {
+    let step = |count, after: &[u16]| Step {
+        count,
+        need: Resource {
+            cpu: 1_500,
+            memory: 200,
+            gpu: 0,
+        },
+        after: after.into(),
+        ..Step::default()
+    };
+    let terms = Terms {
+        pool: "quoting".into(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1_600,
+        target: Duration::from_millis(600),
+    };
+    Record::Job(Arc::new(Job {
+        id: Id(id),
+        queue: queue.into(),
+        terms,
+        specification: "text".into(),
+        steps: [step(2, &[]), step(1, &[0])].into(),
+        repeat: None,
+        submitted: START,
+    }))
+}
+
+fn task(index: u16, done: bool, failures: u16, places: &[&str]) -> progress::Task {
+    let place = |host: &&str| Assignment {
+        runner: format!("runner-{host}").into(),
+        born: 1,
+        host: (*host).into(),
+        attempt: u32::from(failures) + 1,
+    };
+    progress::Task {
+        position: Position {
+            occurrence: 0,
+            step: 0,
+            index,
+        },
+        done,
+        failures,
+        attempt: u32::from(failures) + 1,
+        assignments: places.iter().map(place).collect(),
+        checkpoint: None,
+    }
+}
+
+fn progress(id: u64, outcome: Option<Ending>, tasks: Vec<progress::Task>) -> Record {
+    Record::Progress(Arc::new(Progress {
+        id: Id(id),
+        epoch: 1 << 16,
+        outcome,
+        begun: true,
+        finished: 0,
+        tasks,
+    }))
+}
+
+fn state() -> State {
+    let leader = record::Leader {
+        epoch: 1 << 16,
+        holder: "entry-2".into(),
+        born: 1,
+        resigned: false,
+        runs_until: Time::MIN,
+        capacity: 250,
+    };
+    let wave = record::Wave {
+        number: 3,
+        epoch: 1 << 16,
+        begun: vec!["host-1".into(), "host-2".into()],
+        done: false,
+    };
+    let ordered = record::Ordered {
+        epoch: 1 << 16,
+        hosts: vec![("host-1".into(), START)],
+    };
+    let records = [
+        Record::Leader(leader),
+        job(1, "quotes"),
+        job(2, "quotes"),
+        job(3, "quotes"),
+        job(4, "orders"),
+        progress(
+            1,
+            None,
+            vec![task(0, true, 0, &[]), task(1, false, 1, &["host-1"])],
+        ),
+        progress(3, Some(Ending::Failed), vec![task(1, false, 2, &[])]),
+        Record::Cancel(Id(4)),
+        Record::Wave(wave),
+        Record::Ordered(ordered),
+    ];
+    let mut state = State::default();
+    for (offset, record) in records.into_iter().enumerate() {
+        state.apply(offset as u64, record);
+    }
+    state
+}
+
+/// Guards against an operator who sees another state than callers do, or no reason for it.
+#[test]
+fn jobs_hosts_and_leader_are_explained() {
+    let state = state();
+    let mut text = Overview::from(&state).to_string();
+    for id in 1..=4 {
+        let job = Shown::of(&state, Id(id)).expect("the log holds it");
+        text += &format!("\n{job}");
+    }
+    text += &format!("\n{}", Host::of(&state, "host-1"));
+    text += &format!("\n{}", Host::of(&state, "host-9"));
+    insta::assert_snapshot!(text);
+    assert!(Shown::of(&state, Id(9)).is_none());
+}
+
+fn run(task: &str, began: u64, ended: u64, how: &'static str) -> Interval {
+    Interval {
+        task: task.to_owned(),
+        attempt: 1,
+        began: Duration::from_millis(began),
+        ended: Duration::from_millis(ended),
+        how,
+        noted: true,
+    }
+}
+
+/// Guards against a demo that says that all was kept although a task ran twice.
+#[test]
+fn demo_notices_tasks_that_ran_twice() {
+    let history = [
+        run("a", 0, 100, "done"),
+        run("b", 0, 100, "stopped"),
+        run("b", 100, 200, "done"),
+        run("c", 0, 100, "done"),
+        run("c", 50, 150, "done"),
+        run("d", 0, 100, "done"),
+        run("d", 100, 200, "done"),
+    ];
+    let mut kept = Kept {
+        accepted: 2,
+        done: 2,
+        ..Kept::default()
+    };
+    kept.count_runs(&history);
+    let mut summary = Summary {
+        kept,
+        latency_ms: [100, 200],
+        wave: [12, 12, 3],
+        cap: 3,
+        lasting: [4, 3],
+        may_miss: 1,
+        leaders: ["entry-0".to_owned(), "entry-1".to_owned()],
+    };
+    insta::assert_snapshot!(summary.to_string());
+    assert!(!summary.is_kept());
+    summary.kept.repeated = 0;
+    summary.kept.overlapped = 0;
+    assert!(summary.is_kept());
+}
