test(daemon): wait until both members are known before one is retired

The test only waited until the second entry answered 8 keys, which also happens when all 8 keys belong to itself (1 run in 256). The first entry reads the join up to 1.2 s later.

Change: the test waits until the status lists both entries. What it asserts stays.

--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -278,7 +278,11 @@
     let second = deployment.entry("e2").await;
     wait_until_forwarding(first.callers(), 8).await;
     wait_until_forwarding(second.callers(), 8).await;
-    let status = until(first.admin(), "/status", |answer| answer.status == 200).await;
+    // Forwarding alone does not show that the first entry has read the join of the second one.
+    let status = until(first.admin(), "/status", |answer| {
+        answer.body.contains("\"e1\"") && answer.body.contains("\"e2\"")
+    })
+    .await;
     let incarnation = |host: &str| {
         let members: serde_json::Value = serde_json::from_str(&status.body).unwrap();
         let members = members["members"].as_array().unwrap().clone();
