fix(schedule): count accelerators, host sizes and impossible tasks in the need for hosts

A pool's need counted processors and memory only, so tasks that wait for accelerators brought two hosts at a time; it divided by the largest host, so a pool of mixed sizes got too few; and tasks that no host can run brought hosts.

Change: all three resources count, by the mean size of the pool's hosts. What no host can run does not count.

--- a/crates/schedule/src/engine/balance.rs
+++ b/crates/schedule/src/engine/balance.rs
@@ -15,6 +15,10 @@
     },
     queue::key,
     runner::Runner,
+    work::{
+        StepKey,
+        TaskKey, //
+    },
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
@@ -59,8 +63,7 @@
         let mut amount = Amount::default();
         for step in job.steps.iter().filter(|step| !step.lasting) {
             let time = step.estimate.as_millis() as f64 * f64::from(step.count);
-            amount.cpu += step.counted().cpu as f64 * time;
-            amount.memory += step.need.memory as f64 * time;
+            amount += Amount::new(step.counted(), time);
         }
         self.fleet.demand.submit(pool, amount, now);
     }
@@ -110,21 +113,23 @@
     fn need(&mut self, key: key::Pool, now: Time) -> Need {
         let pool = &self.pools[key];
         let mut load = Resource::default();
-        let mut size = Resource::default();
         let mut usable = 0;
         let mut occupied = 0;
         for &runner in &pool.runners {
             let runner = &self.runners[runner];
             load += runner.used;
-            size.cpu = size.cpu.max(runner.capacity.cpu);
-            size.memory = size.memory.max(runner.capacity.memory);
             usable += usize::from(is_usable(runner));
             occupied += usize::from(is_usable(runner) && !runner.runs.is_empty());
         }
+        let mut latest: Option<(StepKey, Resource)> = None;
         for rank in pool.ready.iter().take(READY_LIMIT) {
-            if let Some(shape) = self.shape(rank.task) {
-                load += shape.counted();
-            }
+            let step = rank.task.step();
+            let need = match latest {
+                Some((known, need)) if known == step => need,
+                _ => self.need_of_waiting(rank.task),
+            };
+            latest = Some((step, need));
+            load += need;
         }
         let incoming = self.fleet.hosts.values().filter(|host| {
             let moving = host.task == Some(Task::Move(key));
@@ -136,18 +141,9 @@
             moving || (joining && !matches!(host.task, Some(Task::Move(_)))) || unseen
         });
         let have = usable + incoming.count();
-        if size.cpu == 0 {
-            let sizes = self.fleet.hosts.values().map(|host| host.listed.capacity);
-            size = sizes.max_by_key(|size| size.cpu).unwrap_or_default();
-        }
-        let hosts = |cpu: f64, memory: f64| {
-            let cpu = cpu / (size.cpu.max(1) as f64 * FILL);
-            let memory = memory / (size.memory.max(1) as f64 * FILL);
-            cpu.max(memory)
-        };
-        let rate = self.fleet.demand.rate(key);
-        let present = hosts(load.cpu as f64, load.memory as f64);
-        let soon = hosts(rate.cpu, rate.memory);
+        let size = self.usual_size(key);
+        let present = Amount::new(load, 1.0).hosts(size);
+        let soon = self.fleet.demand.rate(key).hosts(size);
         self.fleet.demand.observe(key, present.max(soon), now);
         let expected = self.fleet.demand.expected(key, now).unwrap_or_default();
         let want = present.max(soon).max(expected).ceil() as usize;
@@ -158,6 +154,33 @@
         }
     }
 
+    /// Returns what a task that waits takes of a host; nothing if no host can run it, since more hosts would not help.
+    fn need_of_waiting(&self, task: TaskKey) -> Resource {
+        let Some(shape) = self.shape(task) else {
+            return Resource::default();
+        };
+        let need = shape.counted();
+        let mut hosts = self.fleet.hosts.values();
+        let runnable = hosts.any(|host| host.listed.capacity.fits(Resource::default(), need));
+        if runnable { need } else { Resource::default() }
+    }
+
+    /// Returns what a usual host holds: the mean over the runners of the pool, or over all hosts if it has none.
+    fn usual_size(&self, key: key::Pool) -> Amount {
+        let runners = self.pools[key].runners.iter();
+        let sizes = runners.map(|&runner| self.runners[runner].capacity);
+        let mut sizes: Vec<Resource> = sizes.filter(|size| size.cpu > 0).collect();
+        if sizes.is_empty() {
+            let hosts = self.fleet.hosts.values();
+            sizes = hosts.map(|host| host.listed.capacity).collect();
+        }
+        let mut sum = Resource::default();
+        for &size in &sizes {
+            sum += size;
+        }
+        Amount::new(sum, FILL / sizes.len().max(1) as f64)
+    }
+
     /// Returns the hosts that stay in each pool without work.
     fn reserve(&self) -> usize {
         let share = match self.fleet.demand.is_learned() {
--- a/crates/schedule/src/fleet/demand.rs
+++ b/crates/schedule/src/fleet/demand.rs
@@ -1,7 +1,12 @@
 //! How much work a pool is asked to do, and when the next pool's turn comes.
 
 use crate::queue::key;
+use core::ops::{
+    AddAssign,
+    SubAssign, //
+};
 use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::Resource;
 use std::collections::{
     HashMap,
     VecDeque, //
@@ -23,13 +28,50 @@
 /// Longest time between the beginnings of two turns that are seen as a sequence.
 const SEQUENCE_LIMIT: Duration = Duration::from_secs(60);
 
-/// Work in thousandths of a core and in megabytes, both times milliseconds.
+/// Work: an amount of each resource times milliseconds, or its rate, an amount of each resource.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Amount {
-    /// Thousandths of a core times milliseconds.
+    /// Thousandths of a core.
     pub cpu: f64,
-    /// Megabytes times milliseconds.
+    /// Megabytes.
     pub memory: f64,
+    /// Accelerators.
+    pub gpu: f64,
+}
+
+impl Amount {
+    /// Returns an amount of each resource, times `factor`.
+    pub fn new(resource: Resource, factor: f64) -> Self {
+        Self {
+            cpu: resource.cpu as f64 * factor,
+            memory: resource.memory as f64 * factor,
+            gpu: resource.gpu as f64 * factor,
+        }
+    }
+
+    /// Returns how many hosts of a size it takes, by the scarcest resource. What no host has does not count.
+    pub fn hosts(self, size: Self) -> f64 {
+        let share = |amount: f64, whole: f64| if whole > 0.0 { amount / whole } else { 0.0 };
+        share(self.cpu, size.cpu)
+            .max(share(self.memory, size.memory))
+            .max(share(self.gpu, size.gpu))
+    }
+}
+
+impl AddAssign for Amount {
+    fn add_assign(&mut self, other: Self) {
+        self.cpu += other.cpu;
+        self.memory += other.memory;
+        self.gpu += other.gpu;
+    }
+}
+
+impl SubAssign for Amount {
+    fn sub_assign(&mut self, other: Self) {
+        self.cpu -= other.cpu;
+        self.memory -= other.memory;
+        self.gpu -= other.gpu;
+    }
 }
 
 /// What one pool is asked to do.
@@ -102,19 +144,19 @@
     pub fn submit(&mut self, pool: key::Pool, amount: Amount, now: Time) {
         let pool = self.pools.entry(pool).or_default();
         pool.recent.push_back((now, amount));
-        pool.sum.cpu += amount.cpu;
-        pool.sum.memory += amount.memory;
+        pool.sum += amount;
     }
 
-    /// Returns what would run at once in a pool if work went on to be submitted as of late: thousandths of a core and
-    /// megabytes.
+    /// Returns what would run at once in a pool if work went on to be submitted as of late.
     pub fn rate(&self, pool: key::Pool) -> Amount {
         let window = WINDOW.as_millis() as f64;
+        let rate = |sum: f64| sum.max(0.0) / window;
         self.pools
             .get(&pool)
             .map_or_else(Amount::default, |pool| Amount {
-                cpu: pool.sum.cpu.max(0.0) / window,
-                memory: pool.sum.memory.max(0.0) / window,
+                cpu: rate(pool.sum.cpu),
+                memory: rate(pool.sum.memory),
+                gpu: rate(pool.sum.gpu),
             })
     }
 
@@ -125,8 +167,7 @@
             && at + WINDOW < now
         {
             pool.recent.pop_front();
-            pool.sum.cpu -= amount.cpu;
-            pool.sum.memory -= amount.memory;
+            pool.sum -= amount;
         }
         if pool.recent.is_empty() {
             pool.sum = Amount::default();
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the engine, with runners and hosts that carry out its orders in virtual time.
 
+mod balance;
 mod cancel;
 mod evict;
 mod fail;
--- a/crates/schedule/tests/engine/rig/rig.rs
+++ b/crates/schedule/tests/engine/rig/rig.rs
@@ -162,6 +162,15 @@
         self.sites.insert(id.to_owned(), site);
     }
 
+    /// Gives each host that many accelerators.
+    pub(crate) fn set_accelerators(&mut self, count: u64) {
+        let now = self.time();
+        for site in self.sites.values_mut() {
+            site.listed.capacity.gpu = count;
+            self.engine.list(Change::Set(site.listed.clone()), now);
+        }
+    }
+
     /// Returns the present time.
     pub(crate) fn time(&self) -> Time {
         EPOCH + self.now
