perf(schedule): choose hosts by the labels and racks that a pool's work asks for

A pool took and gave away any host, so on a site with two kinds of hosts tasks waited up to 16 s although hosts with their label were switched off, and other tasks filled the hosts that hold the data.

Change: a pool learns which share of its work asks for each label and rack. Hosts that it lacks come first and go last, also if it has enough others; tasks that don't ask for them use them last. The host list keeps all labels instead of the kind.

--- a/crates/schedule/src/engine/balance.rs
+++ b/crates/schedule/src/engine/balance.rs
@@ -9,6 +9,7 @@
         },
         host::{
             self,
+            Host,
             State,
             Task, //
         },
@@ -24,9 +25,13 @@
 use sassafrascrank_job::{
     Job,
     Resource,
+    Step,
     record, //
 };
-use std::sync::Arc;
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
 
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -42,6 +47,8 @@
 const RESERVE_SHARE: usize = 18;
 /// The same as long as the sequence of turns is not known, so that hosts can't be moved ahead of a turn.
 const RESERVE_SHARE_UNKNOWN: usize = 6;
+/// Hosts that a pool has beyond its need for a label below which other tasks should leave them alone.
+const SCARCE: f64 = 1.0;
 /// Tasks that wait and are counted at most; beyond it the pool needs all hosts that there are.
 const READY_LIMIT: usize = 2_000;
 
@@ -60,12 +67,20 @@
     pub(super) fn expect_work(&mut self, job: &Job, now: Time) {
         let queue = self.intern_queue(&job.queue, &job.terms);
         let pool = self.queues[queue].pool;
-        let mut amount = Amount::default();
-        for step in job.steps.iter().filter(|step| !step.lasting) {
+        let steps = job.steps.iter().filter(|step| !step.lasting);
+        let work = |step: &Step| {
             let time = step.estimate.as_millis() as f64 * f64::from(step.count);
-            amount += Amount::new(step.counted(), time);
+            Amount::new(step.counted(), time)
+        };
+        let mut amount = Amount::default();
+        for step in steps.clone() {
+            amount += work(step);
         }
-        self.fleet.demand.submit(pool, amount, now);
+        let parts = steps.flat_map(|step| {
+            let labels = step.label.iter().chain(&step.rack);
+            labels.map(move |label| (&**label, work(step).cpu))
+        });
+        self.fleet.demand.submit(pool, amount, parts, now);
     }
 
     /// Moves hosts to the pools that need them, and switches off those that nobody needs.
@@ -85,9 +100,12 @@
             .collect();
         let mut needs: Vec<Need> = pools.into_iter().map(|pool| self.need(pool, now)).collect();
         needs.sort_by_key(|need| need.have as i64 - need.want as i64);
+        for need in &mut needs {
+            self.bring_labels(need, now);
+        }
         for index in 0..needs.len() {
             while needs[index].have < needs[index].want {
-                let Some(host) = self.spare_host(&needs, standby, needs[index].pool, now) else {
+                let Some(host) = self.spare_host(&needs, standby, needs[index], now) else {
                     break;
                 };
                 let from = self.fleet.hosts[host].pool;
@@ -191,39 +209,115 @@
         RESERVE.max(self.fleet.hosts.len() / (pools.max(1) * share))
     }
 
-    /// Returns a host that another pool can do without. Hosts that are paid for come before those that are not.
+    /// Brings hosts with labels and racks of which the present work of a pool asks for more than the pool has.
+    fn bring_labels(&mut self, need: &mut Need, now: Time) {
+        let lacking = self.lacking(*need);
+        for &runner in &self.pools[need.pool].runners {
+            let runner = &mut self.runners[runner];
+            let mut counts = runner.labels.iter().filter_map(|label| lacking.get(label));
+            runner.scarce = counts.any(|&count| count > -SCARCE);
+        }
+        for (label, count) in lacking {
+            for _ in 0..count.round().max(0.0) as usize {
+                let mut hosts = self.fleet.hosts.iter();
+                let free = |(key, host): &(host::Key, &Host)| {
+                    host.has_label(&label)
+                        && !will_be_in(host, need.pool)
+                        && self.is_touchable(*key, now)
+                };
+                let Some(host) = hosts.find(free).map(|(key, _)| key) else {
+                    break;
+                };
+                need.have += 1;
+                self.move_host(host, need.pool, now);
+            }
+        }
+    }
+
+    /// Returns a host that another pool can do without. Hosts with labels and racks that the pool lacks come first, and
+    /// hosts that are paid for before those that are not.
     fn spare_host(
         &self,
         needs: &[Need],
         standby: key::Pool,
-        pool: key::Pool,
+        short: Need,
         now: Time,
     ) -> Option<host::Key> {
+        let lacking = self.lacking(short);
         let surplus = |from: key::Pool| {
             let need = needs.iter().find(|need| need.pool == from);
             need.is_some_and(|need| need.have > need.want)
         };
         let idle = |since: Option<Time>| since.is_some_and(|since| now >= since + IDLE_LEND);
-        let mut best: Option<(bool, host::Key)> = None;
+        let mut best: Option<((f64, bool), host::Key)> = None;
         for (key, host) in &self.fleet.hosts {
             let off = host.pool == standby;
             let free = off || (surplus(host.pool) && idle(host.idle));
-            if host.pool == pool || !free || !self.is_touchable(key, now) {
+            if host.pool == short.pool || !free || !self.is_touchable(key, now) {
                 continue;
             }
-            if best.is_none_or(|(worst, _)| worst && !off) {
-                best = Some((off, key));
+            let rank = (gain(host, &lacking), !off);
+            if best.is_none_or(|(most, _)| rank > most) {
+                best = Some((rank, key));
             }
         }
         best.map(|(_, key)| key)
     }
 
+    /// Returns the labels and racks that the work of a pool asks for, with the number of hosts that the pool lacks of
+    /// each, below zero if it has more than that.
+    fn lacking(&self, need: Need) -> HashMap<Arc<str>, f64> {
+        let shares = self.fleet.demand.shares(need.pool);
+        let mut lacking: HashMap<Arc<str>, f64> = shares
+            .map(|(label, share)| (Arc::clone(label), share * need.want as f64))
+            .collect();
+        if lacking.is_empty() {
+            return lacking;
+        }
+        let size = self.usual_size(need.pool);
+        for (label, load) in self.load_by_label(need.pool) {
+            if let Some(count) = lacking.get_mut(label) {
+                *count = count.max(load.hosts(size));
+            }
+        }
+        for host in self.fleet.hosts.values() {
+            let there = will_be_in(host, need.pool);
+            for label in host.listed.labels.iter().filter(|_| there) {
+                if let Some(count) = lacking.get_mut(label) {
+                    *count -= 1.0;
+                }
+            }
+        }
+        lacking
+    }
+
+    /// Returns what the tasks of a pool that run or wait take of hosts, by the label and the rack that they ask for.
+    fn load_by_label(&self, key: key::Pool) -> HashMap<&str, Amount> {
+        let pool = &self.pools[key];
+        let runs = pool.runners.iter().flat_map(|&key| &self.runners[key].runs);
+        let running = runs.map(|&run| self.runs[run].task);
+        let waiting = pool.ready.iter().take(READY_LIMIT).map(|rank| rank.task);
+        let mut load: HashMap<&str, Amount> = HashMap::new();
+        for shape in running.chain(waiting).filter_map(|task| self.shape(task)) {
+            for label in shape.label.iter().chain(&shape.rack) {
+                *load.entry(label).or_default() += Amount::new(shape.counted(), 1.0);
+            }
+        }
+        load
+    }
+
     /// Switches off hosts of a pool that have had no work for a while.
     fn switch_off(&mut self, mut need: Need, standby: key::Pool, now: Time) {
         let idle = |since: Option<Time>| since.is_some_and(|since| now >= since + IDLE_OFF);
         let hosts = self.fleet.hosts.iter();
         let hosts = hosts.filter(|(_, host)| host.pool == need.pool && idle(host.idle));
-        let keys: Vec<host::Key> = hosts.map(|(key, _)| key).collect();
+        let mut keys: Vec<host::Key> = hosts.map(|(key, _)| key).collect();
+        if need.have > need.want && !keys.is_empty() {
+            // Hosts with labels and racks of which the pool has more than it needs go first.
+            let lacking = self.lacking(need);
+            let excess = |key: &host::Key| -gain(&self.fleet.hosts[*key], &lacking);
+            keys.sort_by(|one, other| excess(other).total_cmp(&excess(one)));
+        }
         for key in keys {
             if need.have <= need.want {
                 return;
@@ -281,6 +375,20 @@
     }
 }
 
+/// Tells whether a host is in a pool or on its way there.
+fn will_be_in(host: &Host, pool: key::Pool) -> bool {
+    match host.task {
+        Some(Task::Move(to)) => to == pool,
+        _ => host.pool == pool,
+    }
+}
+
+/// Returns how much a pool gains by a host, from the number of hosts that it lacks of each label and rack.
+fn gain(host: &Host, lacking: &HashMap<Arc<str>, f64>) -> f64 {
+    let labels = host.listed.labels.iter();
+    labels.filter_map(|label| lacking.get(label)).sum()
+}
+
 /// Tells whether a runner works for its pool, or will as soon as it has answered.
 fn is_usable(runner: &Runner) -> bool {
     runner.listed && runner.leaves.is_none() && !runner.closing && runner.misses == 0
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -28,6 +28,8 @@
     unsuited: u8,
     /// Jobs that failed there in a row.
     failures: u32,
+    /// Tasks that ask for its labels or its rack need it, and this one does not.
+    scarce: bool,
     /// It has no task that lasts, so its host could be given away.
     movable: bool,
     /// Tasks of the same step in the same rack, for tasks that last.
@@ -172,6 +174,7 @@
             .is_some_and(|rack| *runner.rack != **rack);
         let disturbs =
             (shape.fills && self.serves(key)) || (shape.target.is_some() && self.fills(key));
+        let mut asked = shape.label.iter().chain(&shape.rack);
         let together = match shape.lasting {
             true => self.count_in_rack(step, &runner.rack),
             false => 0,
@@ -179,6 +182,7 @@
         Score {
             unsuited: u8::from(far) + u8::from(disturbs),
             failures: runner.failures,
+            scarce: runner.scarce && !asked.any(|label| runner.has_label(label)),
             movable: !self.has_lasting(key),
             together,
             free: 1.0 - runner.capacity.share(runner.used),
--- a/crates/schedule/src/fleet/demand.rs
+++ b/crates/schedule/src/fleet/demand.rs
@@ -1,5 +1,6 @@
 //! How much work a pool is asked to do, and when the next pool's turn comes.
 
+use super::Affinity;
 use crate::queue::key;
 use core::ops::{
     AddAssign,
@@ -7,9 +8,12 @@
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::Resource;
-use std::collections::{
-    HashMap,
-    VecDeque, //
+use std::{
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
+    sync::Arc,
 };
 
 /// Time over which the rate of submitted work is taken. A shorter one would follow single jobs.
@@ -79,6 +83,7 @@
 struct Pool {
     recent: VecDeque<(Time, Amount)>,
     sum: Amount,
+    affinity: Affinity,
     mean: f64,
     updated: Option<Time>,
     high: bool,
@@ -140,11 +145,24 @@
         self.turn = turn;
     }
 
-    /// Takes work that was submitted for a pool.
-    pub fn submit(&mut self, pool: key::Pool, amount: Amount, now: Time) {
+    /// Takes work that was submitted for a pool, with the part of its processor time that asks for each label or rack.
+    pub fn submit<'a>(
+        &mut self,
+        pool: key::Pool,
+        amount: Amount,
+        parts: impl Iterator<Item = (&'a str, f64)>,
+        now: Time,
+    ) {
         let pool = self.pools.entry(pool).or_default();
         pool.recent.push_back((now, amount));
         pool.sum += amount;
+        pool.affinity.note(amount.cpu, parts, now);
+    }
+
+    /// Returns the labels and racks that work of a pool asks for, with their shares of all its work.
+    pub(crate) fn shares(&self, pool: key::Pool) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        let pool = self.pools.get(&pool).into_iter();
+        pool.flat_map(|pool| pool.affinity.shares())
     }
 
     /// Returns what would run at once in a pool if work went on to be submitted as of late.
--- a/crates/schedule/src/fleet/host.rs
+++ b/crates/schedule/src/fleet/host.rs
@@ -34,8 +34,8 @@
     pub state: State,
     /// Availability zone.
     pub zone: Arc<str>,
-    /// Kind; hosts of one kind can take each other's place.
-    pub kind: Arc<str>,
+    /// All labels, with the rack among them.
+    pub labels: Box<[Arc<str>]>,
     /// What it can run at once.
     pub capacity: Resource,
     /// Its runner, if it has one.
@@ -94,3 +94,10 @@
     /// When it was closed to new work, for an order that follows.
     pub closed: Option<Time>,
 }
+
+impl Host {
+    /// Tells whether it has the label.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.listed.labels.iter().any(|own| **own == *label)
+    }
+}
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -1,10 +1,12 @@
 //! Hosts, maintenance waves, and how many hosts each pool needs.
 
+mod affinity;
 pub mod demand;
 mod fleet;
 pub mod host;
 mod wave;
 
+pub(crate) use affinity::Affinity;
 pub use demand::Demand;
 pub use fleet::Fleet;
 pub use host::Host;
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -46,6 +46,8 @@
     pub listed: bool,
     /// When it leaves at the earliest, if it drains.
     pub leaves: Option<Time>,
+    /// Its pool needs it for the tasks that ask for one of its labels or its rack.
+    pub scarce: bool,
     /// No work may start, since its host is about to be moved or maintained.
     pub closing: bool,
     /// Its clock.
@@ -116,6 +118,7 @@
             runs: Vec::new(),
             listed: false,
             leaves: None,
+            scarce: false,
             closing: false,
             clock: None,
             expiry,
