perf(control): send appends that are not answered soon over further connections

Cause: a lost answer of the log held up all decisions until a timeout that doubled from 120 ms to 1 s.

Change: a lane of appends has four connections. An append that is not answered within three times the usual time, 30 ms at least, is also sent on the next one; the log recognises it by its sequence, and the first answer counts. It is refused only if every try was.

--- a/crates/control/src/store/append.rs
+++ b/crates/control/src/store/append.rs
@@ -3,6 +3,7 @@
 use super::{
     Event,
     Written,
+    lane::Lane,
     outlet::Outlet, //
 };
 use crate::{
@@ -42,11 +43,6 @@
 const PATIENCE: Duration = Duration::from_millis(150);
 /// Pause after a refusal.
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
-/// Shortest and longest time for which an answer is awaited before the append is repeated.
-const TIMEOUT_MIN: Duration = Duration::from_millis(120);
-const TIMEOUT_MAX: Duration = Duration::from_millis(1_000);
-/// Multiple of the usual time of an append after which it is repeated.
-const TIMEOUT_FACTOR: u32 = 4;
 
 /// A queue within one thread.
 pub(super) struct Queue<T> {
@@ -84,30 +80,6 @@
     }
 }
 
-/// The usual time of an append, and the timeout that follows from it.
-struct Timing {
-    usual: Duration,
-    timeout: Duration,
-}
-
-impl Timing {
-    fn new() -> Self {
-        Self {
-            usual: TIMEOUT_MIN / TIMEOUT_FACTOR,
-            timeout: TIMEOUT_MIN,
-        }
-    }
-
-    fn answered(&mut self, took: Duration) {
-        self.usual = (self.usual * 3 + took) / 4;
-        self.timeout = (self.usual * TIMEOUT_FACTOR).clamp(TIMEOUT_MIN, TIMEOUT_MAX);
-    }
-
-    fn silent(&mut self) {
-        self.timeout = (self.timeout * 2).min(TIMEOUT_MAX);
-    }
-}
-
 /// A caller's record that waits.
 pub(super) struct Accept {
     pub(super) token: u64,
@@ -117,13 +89,12 @@
 
 /// Appends callers' records until the thread ends.
 pub(super) async fn accept<L: Log>(
-    mut log: L,
+    mut lane: Lane<L>,
     mut producer: Producer,
     queue: Rc<Queue<Accept>>,
     clock: Clock,
     outlet: Outlet,
 ) {
-    let mut timing = Timing::new();
     loop {
         queue.wait().await;
         let batch = queue.take(BATCH_LIMIT);
@@ -134,10 +105,8 @@
         let started = clock.now();
         let mut doubtful = false;
         let stored = loop {
-            let asked = clock.now();
-            match log.append(&producer, &records, timing.timeout).await {
-                Ok(_) => {
-                    timing.answered(clock.now().since(asked));
+            match lane.append(&producer, &records).await {
+                Ok(()) => {
                     producer.sequence += 1;
                     break true;
                 }
@@ -154,7 +123,6 @@
                 }
                 Err(AppendError::Unknown(_) | AppendError::Fenced) => {
                     doubtful = true;
-                    timing.silent();
                 }
             }
             refuse_late(&queue, &clock, &outlet).await;
@@ -190,7 +158,7 @@
 
 /// Appends the leader's records until the thread ends. `epoch` holds the epoch that leads, 0 for none.
 pub(super) async fn write<L: Log>(
-    mut log: L,
+    mut lane: Lane<L>,
     queue: Rc<Queue<Write>>,
     epoch: Rc<Cell<u64>>,
     clock: Clock,
@@ -201,7 +169,6 @@
         epoch: 0,
         sequence: 0,
     };
-    let mut timing = Timing::new();
     loop {
         queue.wait().await;
         for next in queue.take(1) {
@@ -213,13 +180,8 @@
                 producer.sequence = 0;
             }
             let started = clock.now();
-            let current = Current {
-                epoch: &epoch,
-                clock: &clock,
-            };
-            let result = current
-                .write(&mut log, &mut producer, &next.records, &mut timing)
-                .await;
+            let current = Current(&epoch);
+            let result = current.write(&mut lane, &mut producer, &next.records).await;
             if let Some(result) = result {
                 let epoch = next.epoch;
                 outlet
@@ -234,23 +196,19 @@
     }
 }
 
-/// What an append of the leader is checked against.
-struct Current<'a> {
-    epoch: &'a Cell<u64>,
-    clock: &'a Clock,
-}
+/// The epoch that leads, against which an append of the leader is checked.
+struct Current<'a>(&'a Cell<u64>);
 
 impl Current<'_> {
     /// Appends records in chunks. Returns `None` if the role was given up meanwhile.
     async fn write<L: Log>(
         &self,
-        log: &mut L,
+        lane: &mut Lane<L>,
         producer: &mut Producer,
         records: &[Record],
-        timing: &mut Timing,
     ) -> Option<Written> {
         for chunk in chunks(records) {
-            let result = self.append(log, producer, &chunk, timing).await?;
+            let result = self.append(lane, producer, &chunk).await?;
             if result == Written::Fenced {
                 return Some(result);
             }
@@ -260,16 +218,13 @@
 
     async fn append<L: Log>(
         &self,
-        log: &mut L,
+        lane: &mut Lane<L>,
         producer: &mut Producer,
         chunk: &[(String, Vec<u8>)],
-        timing: &mut Timing,
     ) -> Option<Written> {
         loop {
-            let asked = self.clock.now();
-            match log.append(producer, chunk, timing.timeout).await {
-                Ok(_) => {
-                    timing.answered(self.clock.now().since(asked));
+            match lane.append(producer, chunk).await {
+                Ok(()) => {
                     producer.sequence += 1;
                     return Some(Written::Stored);
                 }
@@ -280,9 +235,9 @@
                 }
                 Err(AppendError::Sequence { expected }) => producer.sequence = expected,
                 Err(AppendError::Refused(_)) => sleep(REFUSED_PAUSE).await,
-                Err(AppendError::Unknown(_)) => timing.silent(),
+                Err(AppendError::Unknown(_)) => {}
             }
-            if self.epoch.get() != producer.epoch {
+            if self.0.get() != producer.epoch {
                 return None;
             }
         }
--- a/crates/control/src/store/mod.rs
+++ b/crates/control/src/store/mod.rs
@@ -1,11 +1,13 @@
 //! The thread that talks to the platform's log.
 
 mod append;
+mod lane;
 mod message;
 mod outlet;
 mod store;
 mod tail;
 
+pub use lane::Lane;
 pub use message::{
     Event,
     Request,
--- a/crates/control/src/store/store.rs
+++ b/crates/control/src/store/store.rs
@@ -8,6 +8,7 @@
         Queue,
         Write, //
     },
+    lane::Lane,
     outlet::Outlet,
     tail::{
         self,
@@ -134,14 +135,14 @@
             ));
         }
         spawn_local(append::accept(
-            self.platform.log(),
+            self.lane(),
             producer,
             Rc::clone(&self.accepts),
             self.clock,
             outlet.clone(),
         ));
         spawn_local(append::write(
-            self.platform.log(),
+            self.lane(),
             Rc::clone(&self.writes),
             Rc::clone(&self.epoch),
             self.clock,
@@ -149,6 +150,10 @@
         ));
     }
 
+    fn lane(&self) -> Lane<P::Log> {
+        Lane::new(|| self.platform.log(), self.clock)
+    }
+
     fn take(&self, request: Request) {
         match request {
             Request::Accept { token, record } => self.accepts.push(Accept {
