fix(schedule): count stops that a former leader may have ordered against the budget

A leader ordered the stop of a lasting task as it lost its role; the next one found the task listed and at work, which it is until the stop has ended, and stopped two others of the same step.

Change: a run that was adopted from a former leader counts as away until the longest time of a stop has passed since its runner first showed it.

The new test of `schedule` shows two stops at once without the change.

--- a/crates/schedule/src/engine/evict.rs
+++ b/crates/schedule/src/engine/evict.rs
@@ -46,25 +46,25 @@
             return false;
         }
         // Ends at a runner that drains don't count against the budget.
-        if !draining && !self.is_spare(run) {
+        if !draining && !self.is_spare(run, now) {
             return false;
         }
         self.choose_for(run.task, Some(run.runner), now).is_some()
     }
 
     /// Tells whether the budget of the step allows a stop: fewer of its other tasks are away than may be missed.
-    pub(super) fn is_spare(&self, run: &Run) -> bool {
+    pub(super) fn is_spare(&self, run: &Run, now: Time) -> bool {
         let Some(shape) = self.shape(run.task) else {
             return false;
         };
         let Some(budget) = shape.may_miss else {
             return true;
         };
-        self.away(run) < usize::from(budget)
+        self.away(run, now) < usize::from(budget)
     }
 
     /// Returns how many other tasks of the step are not at work.
-    fn away(&self, run: &Run) -> usize {
+    fn away(&self, run: &Run, now: Time) -> usize {
         let Some(work) = self.works.get(run.task.work) else {
             return 0;
         };
@@ -75,25 +75,30 @@
         let others = tasks.filter(|(index, _)| *index != usize::from(run.task.index));
         others
             .filter(|(_, task)| task.state != State::Done)
-            .filter(|(_, task)| !task.runs.iter().any(|&run| self.is_at_work(run)))
+            .filter(|(_, task)| !task.runs.iter().any(|&run| self.is_at_work(run, now)))
             .count()
     }
 
     /// Tells whether a lasting task works fully, as far as is known.
-    fn is_at_work(&self, key: run::Key) -> bool {
+    ///
+    /// A former leader may have ordered its stop just before its runner learned of this one; the runner lists it until
+    /// the stop has ended.
+    fn is_at_work(&self, key: run::Key, now: Time) -> bool {
         let run = &self.runs[key];
         let sound = |runner: &Runner| runner.misses == 0 && runner.fenced;
+        let certain = |at: Time| now > at + self.rules.stop + self.rules.margin;
         run.stage == Stage::Running
+            && run.adopted.is_none_or(certain)
             && run.percent >= AT_WORK
             && self.runners.get(run.runner).is_some_and(sound)
     }
 
     /// Tells whether a runner's host could be emptied now, as far as its lasting tasks go.
-    pub(super) fn is_clearable(&self, key: runner::Key) -> bool {
+    pub(super) fn is_clearable(&self, key: runner::Key, now: Time) -> bool {
         self.runners[key].runs.iter().all(|&run| {
             let run = &self.runs[run];
             let lasting = self.shape(run.task).is_some_and(|step| step.lasting);
-            !lasting || self.is_spare(run)
+            !lasting || self.is_spare(run, now)
         })
     }
 
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -316,7 +316,7 @@
             && now >= host.rest
             && (hurry || closed.count() < limit)
             && (hurry || pool.ready.is_empty())
-            && self.is_clearable(runner)
+            && self.is_clearable(runner, now)
     }
 
     fn maintain(&mut self, key: host::Key, wave: u64, now: Time) {
--- a/crates/schedule/src/engine/inherit.rs
+++ b/crates/schedule/src/engine/inherit.rs
@@ -115,6 +115,7 @@
             need,
             stage: Stage::Inherited,
             planned: now,
+            adopted: None,
             started: None,
             settled: None,
             stop_at: None,
--- a/crates/schedule/src/engine/look.rs
+++ b/crates/schedule/src/engine/look.rs
@@ -218,7 +218,9 @@
         let adopted = run.stage == Stage::Inherited;
         if matches!(run.stage, Stage::Inherited | Stage::Ordered) {
             run.stage = Stage::Running;
-            if !adopted {
+            if adopted {
+                run.adopted = Some(now);
+            } else {
                 run.started.get_or_insert(now);
             }
             run.settled = Some(sent);
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -57,6 +57,7 @@
             need,
             stage: Stage::Planned,
             planned: now,
+            adopted: None,
             started: None,
             settled: None,
             stop_at: None,
--- a/crates/schedule/src/work/run.rs
+++ b/crates/schedule/src/work/run.rs
@@ -46,6 +46,8 @@
     pub stage: Stage,
     /// When it was planned.
     pub planned: Time,
+    /// When a runner first showed it to this leader, if a former leader started it.
+    pub adopted: Option<Time>,
     /// When the start was confirmed; `None` for a run of a former leader.
     pub started: Option<Time>,
     /// When the latest order about it was answered; a look sent later shows it if it exists.
--- a/crates/schedule/tests/engine/evict.rs
+++ b/crates/schedule/tests/engine/evict.rs
@@ -7,6 +7,7 @@
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::prelude::*;
+use std::sync::Arc;
 
 /// Guards against work that starts at a runner that drains, and against lasting tasks that stay there until it ends.
 #[test]
@@ -69,3 +70,39 @@
     rig.run(6_000);
     insta::assert_snapshot!(rig.timeline());
 }
+
+/// Guards against a new leader that stops lasting tasks beside one whose stop the former leader ordered, which its runner
+/// still lists.
+#[test]
+fn stops_of_a_former_leader_count_against_the_budget() {
+    let mut rig = Rig::new(5, 1);
+    rig.work = |_| None;
+    rig.set_stop_time(Duration::from_millis(800));
+    rig.submit(1, vec![lasting(3, 1)]);
+    rig.run(1_000);
+    let occupied = rig
+        .sites
+        .iter()
+        .filter(|(_, site)| !site.worker.runs.is_empty());
+    let hosts: Vec<Arc<str>> = occupied
+        .map(|(_, site)| Arc::clone(&site.listed.host))
+        .collect();
+    let wave = |rig: &mut Rig, hosts: &[Arc<str>]| {
+        let now = rig.time();
+        rig.engine
+            .wave(1, hosts.to_vec(), Duration::from_secs(10), 3, None, now);
+    };
+    wave(&mut rig, &hosts);
+    while rig.stopping() == 0 {
+        rig.run(20);
+    }
+    rig.take_over();
+    wave(&mut rig, &hosts[1..]);
+    let mut most = 0;
+    for _ in 0..400 {
+        rig.run(20);
+        most = most.max(rig.stopping());
+    }
+    insta::assert_snapshot!(format!("most stops at once: {most}\n{}", rig.timeline()));
+    assert_eq!(most, 1, "one of the tasks may be away");
+}
--- a/crates/schedule/tests/engine/rig/rig.rs
+++ b/crates/schedule/tests/engine/rig/rig.rs
@@ -35,6 +35,8 @@
     sync::Arc,
 };
 
+/// Epoch of the first leader.
+const EPOCH_OF_FIRST: u64 = 7;
 /// Time between two decisions.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -70,6 +72,10 @@
     pub(crate) fails: fn(&Task, u32, &str) -> bool,
     /// The latest progress of each job, as the log would hold it.
     pub(crate) log: BTreeMap<Id, Arc<Progress>>,
+    /// The fold of the log.
+    book: Book,
+    rules: Rules,
+    epoch: u64,
     /// Hosts that the log names as ordered.
     pub(crate) ordered: Vec<String>,
     /// Answers to orders to hosts.
@@ -104,7 +110,7 @@
             (Arc::from(*host), at)
         };
         let succession = Succession {
-            epoch: 7,
+            epoch: EPOCH_OF_FIRST,
             runs_until: Time::MIN,
             hosts: ordered.iter().map(row).collect(),
         };
@@ -125,6 +131,9 @@
             work: |_| Some(Duration::from_millis(300)),
             fails: |_, _, _| false,
             log: BTreeMap::new(),
+            book: Book::default(),
+            rules,
+            epoch: EPOCH_OF_FIRST,
             ordered: Vec::new(),
             answers: Vec::new(),
             mute_hosts: 0,
@@ -179,6 +188,19 @@
         }
     }
 
+    /// Lets each stop take that long.
+    pub(crate) fn set_stop_time(&mut self, time: Duration) {
+        for site in self.sites.values_mut() {
+            site.worker.stop_time = time;
+        }
+    }
+
+    /// Returns the number of runs that are being stopped.
+    pub(crate) fn stopping(&self) -> usize {
+        let runs = self.sites.values().flat_map(|site| &site.worker.runs);
+        runs.filter(|run| run.stops.is_some()).count()
+    }
+
     /// Returns the present time.
     pub(crate) fn time(&self) -> Time {
         EPOCH + self.now
@@ -191,9 +213,32 @@
             ..job(id, steps)
         });
         self.engine.add(Arc::clone(&job), self.time());
+        let record = Record::Job(Arc::clone(&job));
+        self.book.apply(0, record, self.time());
         job
     }
 
+    /// Puts a new leader in the place of the present one. It knows what the log holds.
+    pub(crate) fn take_over(&mut self) {
+        let now = self.time();
+        self.epoch += 1;
+        let hosts = self.book.ordered().hosts.iter().cloned();
+        let succession = Succession {
+            epoch: self.epoch,
+            runs_until: self.rules.lapse(now + self.rules.tenure),
+            hosts: hosts.collect(),
+        };
+        let mut engine = Engine::new(self.rules, succession, &config(), now);
+        for site in self.sites.values() {
+            engine.list(Change::Set(site.listed.clone()), now);
+        }
+        for (_, entry) in self.book.jobs() {
+            engine.inherit(entry, now, now);
+        }
+        self.engine = engine;
+        self.mark("another leader");
+    }
+
     /// Says in the service list that a runner leaves.
     pub(crate) fn drain(&mut self, id: &str) {
         let site = self.sites.get_mut(id).expect("the runner exists");
@@ -220,6 +265,7 @@
         self.engine.tick(true, now, now);
         if let Some(records) = self.engine.cut(now) {
             for record in records {
+                self.book.apply(0, record.clone(), now);
                 match record {
                     Record::Progress(progress) => {
                         self.log.insert(progress.id, progress);
--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -58,6 +58,8 @@
     pub began: Duration,
     /// When it ends by itself.
     ends: Option<Duration>,
+    /// When its stop has ended, if it was ordered.
+    pub stops: Option<Duration>,
     fails: bool,
 }
 
@@ -125,6 +127,8 @@
     fence: u64,
     /// It rejects lower fences.
     fenced: bool,
+    /// Time that a stop takes.
+    pub stop_time: Duration,
     until: u64,
     /// Highest attempt that ended or was stopped, by task.
     past: HashMap<String, u32>,
@@ -148,6 +152,7 @@
             number: 0,
             fence: 0,
             fenced: true,
+            stop_time: Duration::ZERO,
             until: 0,
             past: HashMap::new(),
             history: Vec::new(),
@@ -186,7 +191,8 @@
         let lapse = self.lapse();
         let mut due: Vec<(Duration, usize)> = Vec::new();
         for (index, run) in self.runs.iter().enumerate() {
-            let at = run.ends.map_or(lapse, |ends| ends.min(lapse));
+            let ends = [run.ends, run.stops].into_iter().flatten();
+            let at = ends.fold(lapse, Duration::min);
             if at <= now {
                 due.push((at, index));
             }
@@ -196,6 +202,7 @@
         for (at, index) in due {
             let run = self.runs[index].clone();
             let how = match run.ends {
+                _ if run.stops == Some(at) => "stopped",
                 Some(ends) if ends <= lapse && run.fails => "failed",
                 Some(ends) if ends <= lapse => "done",
                 _ => "lapsed",
@@ -268,6 +275,7 @@
             attempt: order.attempt,
             began: now,
             ends: order.work.map(|work| now + work),
+            stops: None,
             fails: order.fails,
         });
         Ok(())
@@ -291,11 +299,14 @@
             .runs
             .iter()
             .position(|run| run.task == task && run.attempt == attempt);
-        if let Some(found) = found {
-            let run = self.runs.remove(found);
-            self.list(&run, now, "stopped");
+        match found {
+            Some(found) => {
+                let stops = now + self.stop_time;
+                self.runs[found].stops.get_or_insert(stops);
+                self.advance(now);
+            }
+            None => self.raise(task, attempt),
         }
-        self.raise(task, attempt);
         Ok(())
     }
 
