fix(lead): do not repeat a rejected claim before the record that beat it is read

Four entries claimed 45 times within 1.7 s, each claim rejected by the log, because a resignation, an own earlier life or a much smaller leader is a reason to claim at once, and the record of the entry that had claimed a higher epoch was not read yet.

Change: after a rejected claim an entry waits as for a silent leader until it has read a higher epoch than its own.

--- a/crates/lead/src/seat/seat.rs
+++ b/crates/lead/src/seat/seat.rs
@@ -73,6 +73,8 @@
     confirmed: Time,
     /// Since when a claim is due.
     due: Option<Time>,
+    /// Highest epoch of this entry that the log or a runner has rejected.
+    rejected: u64,
     /// The entry is ending and doesn't claim.
     retired: bool,
 }
@@ -92,6 +94,7 @@
             read_at: Time::MIN,
             confirmed: Time::MIN,
             due: None,
+            rejected: 0,
             retired: false,
         }
     }
@@ -206,6 +209,9 @@
 
     /// Gives up a role or a claim, because the log or a runner knows a higher epoch or the claim failed.
     pub fn step_down(&mut self, now: Time) {
+        if let Role::Leader { epoch } | Role::Candidate { epoch } = self.role {
+            self.rejected = self.rejected.max(epoch);
+        }
         self.role = Role::Follower;
         self.heard_at = self.heard_at.max(now);
     }
@@ -232,6 +238,7 @@
     fn patience(&self, away: bool) -> Duration {
         let wait = self.stagger() + self.courtesy();
         match self.heard {
+            _ if self.is_behind() => self.rules.silence + wait,
             // No other process can lead with the epoch of this process's earlier life.
             Some(heard) if heard.own_past => Duration::ZERO,
             Some(heard) if heard.resigned => wait / 2,
@@ -245,11 +252,18 @@
     fn outranks(&self, since: Time, now: Time) -> bool {
         let settled = since.max(self.led_since) + self.rules.settling + self.stagger();
         now >= settled
+            && !self.is_behind()
             && self.heard.is_some_and(|heard| {
                 heard.capacity > 0 && self.capacity >= heard.capacity.saturating_mul(OUTRANKS)
             })
     }
 
+    /// Tells whether an epoch above one of this entry exists of which no record was read yet. Its holder is about to
+    /// lead, so reasons to claim at once no longer hold.
+    fn is_behind(&self) -> bool {
+        self.rejected > 0 && self.heard.is_none_or(|heard| heard.epoch <= self.rejected)
+    }
+
     /// Returns the time that this entry leaves to others of the size of the latest leader, if it is much smaller.
     fn courtesy(&self) -> Duration {
         let larger = |heard: Heard| heard.capacity >= self.capacity.saturating_mul(OUTRANKS);
--- a/crates/lead/tests/seat.rs
+++ b/crates/lead/tests/seat.rs
@@ -148,3 +148,40 @@
         now.since(back)
     );
 }
+
+/// Guards against an entry that claims again and again while the record of the entry that beat it is on its way, as
+/// happens when the log is slow.
+#[test]
+fn rejected_claim_is_not_repeated_at_once() {
+    let resigned = Heard {
+        resigned: true,
+        ..record(1 << 16, 250)
+    };
+    let own_past = Heard {
+        own_past: true,
+        ..record(1 << 16, 250)
+    };
+    let mut table = String::new();
+    for (name, heard) in [
+        ("after a resignation", resigned),
+        ("after a restart", own_past),
+        ("much smaller leader", record(1 << 16, 60)),
+    ] {
+        let mut seat = Seat::new(Rules::default(), 0, 250, START);
+        let mut now = START;
+        let mut claims = Vec::new();
+        while now < START + Duration::from_secs(4) {
+            seat.read(true, now, now);
+            if now == START {
+                seat.hear(heard, now);
+            }
+            if let Claim::Append(_) = seat.claim(now) {
+                claims.push(now.since(START).as_millis());
+                seat.step_down(now);
+            }
+            now = now + READ;
+        }
+        writeln!(table, "{name}: claims at {claims:?} ms").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
