perf(control): send fewer copies of appends to a slow log

Change: the copies follow after 30, 150 and 630 ms, counted from the first one also when a connection fails meanwhile.

--- a/crates/control/src/store/lane.rs
+++ b/crates/control/src/store/lane.rs
@@ -13,7 +13,10 @@
     stream::FuturesUnordered, //
 };
 use sassafrascrank_base::prelude::*;
-use tokio::time::sleep;
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
 
 /// Connections of a lane. Four in turn lose all their answers once in 40 times if the log loses 40% of them.
 const WIDTH: usize = 4;
@@ -22,6 +25,9 @@
 const HEDGE_MAX: Duration = Duration::from_millis(400);
 /// Multiple of the usual time of an append after which it is also sent on another connection.
 const HEDGE_FACTOR: u32 = 3;
+/// Growth of that time with each connection. A slow log carries out one append after the other, so that each further
+/// copy delays all entries.
+const HEDGE_GROWTH: u32 = 4;
 /// Shortest and longest time after which a connection without an answer is given up.
 const TIMEOUT_MIN: Duration = Duration::from_millis(500);
 const TIMEOUT_MAX: Duration = Duration::from_millis(1_000);
@@ -73,10 +79,11 @@
                     result.map(|_| clock.now().since(asked))
                 });
             }
+            let next = Instant::now() + hedge;
             loop {
                 let result = tokio::select! {
                     Some(result) = tries.next() => result,
-                    () = sleep(hedge), if spare.len() > 0 => break,
+                    () = sleep_until(next), if spare.len() > 0 => break,
                 };
                 match result {
                     Ok(took) => {
@@ -97,7 +104,7 @@
                     return Err(failure);
                 }
             }
-            hedge *= 2;
+            hedge *= HEDGE_GROWTH;
         }
     }
 }
