fix(control): tell the number of waiting jobs only from a recent read

It answered from what it had read last, however long ago.

Change: the question is refused like others if the last complete read is older than 1.5 s.

Measured: the test got "0" after 6 s without a read before the change.

--- a/crates/control/src/control/calls.rs
+++ b/crates/control/src/control/calls.rs
@@ -76,7 +76,7 @@
             }
             Query::State(id) => self.read_state(caller, id, now),
             Query::Cancel(id) => self.cancel(caller, id, now),
-            Query::Pending(_) if !self.jobs_read => self.reply(caller, unread()),
+            Query::Pending(_) if !self.is_fresh(now) => self.reply(caller, unread()),
             Query::Pending(queue) => {
                 let pending = self.book.pending(&queue);
                 self.reply(caller, Reply::Pending(pending));
--- a/crates/control/tests/reads.rs
+++ b/crates/control/tests/reads.rs
@@ -157,3 +157,17 @@
     report.push(ready(&mut control));
     insta::assert_snapshot!(report.join("\n"));
 }
+
+/// Guards against an entry that has not read the log for seconds and tells how many jobs wait as of then.
+#[test]
+fn number_of_waiting_jobs_is_not_told_from_an_old_read() {
+    let mut control = entry();
+    let after = |millis| START + Duration::from_millis(millis);
+    control.take_event(read(START, true, true), after(10));
+    let mut count = |millis| {
+        let query = Query::Pending("queue".into());
+        control.take_call(Request { caller: 1, query }, after(millis));
+        answer(&mut control)
+    };
+    insta::assert_debug_snapshot!([count(500), count(6_000)]);
+}
