fix: close connections to runners that are gone, and all of them after the role was lost

Cause: nobody called `Pool::forget`, so connections to hosts that were moved or failed stayed open until the other side closed them, and an entry that had led kept its connections to all runners, of which each takes 64.

Change: the scheduler says when a runner is gone, and an entry that stops leading closes all.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -76,6 +76,11 @@
         self.sites.borrow_mut().remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.sites.borrow_mut().clear();
+    }
+
     fn permits(&self, address: SocketAddr) -> Rc<Semaphore> {
         let mut sites = self.sites.borrow_mut();
         let site = sites.entry(address).or_insert_with(|| Site {
--- a/crates/client/tests/pool.rs
+++ b/crates/client/tests/pool.rs
@@ -8,7 +8,13 @@
     Limits,
     Pool, //
 };
-use std::net::TcpListener;
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpListener,
+};
 
 /// Guards against requests that pile up behind one without an answer and are sent long after they made sense.
 #[test]
@@ -42,3 +48,53 @@
     };
     assert!(matches!(failure, Failure::Unsent(_)), "{failure:?}");
 }
+
+/// Guards against descriptors that stay in use for addresses which nobody calls any more.
+#[test]
+fn idle_connections_can_be_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    let server = std::thread::spawn(move || {
+        let mut ends = Vec::new();
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().expect("the client connects");
+            let mut buffer = [0; 1_024];
+            let read = stream.read(&mut buffer).expect("the request arrives");
+            assert!(read > 0, "the request is not empty");
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer).expect("the client reads");
+            // The end of the stream, or a reset, shows that the client has closed it.
+            ends.push(matches!(stream.read(&mut buffer), Ok(0) | Err(_)));
+        }
+        ends
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built");
+    runtime.block_on(async {
+        let pool = Pool::new(1, Duration::from_secs(10));
+        let limits = Limits {
+            connect: Duration::from_secs(10),
+            answer: Duration::from_secs(10),
+            bytes: 1_024,
+        };
+        for close in [
+            |pool: &Pool, address| pool.forget(address),
+            |pool: &Pool, _| pool.clear(),
+        ] {
+            let request = hyper::Request::get("/").body(Full::new(Bytes::new()));
+            let answer = pool
+                .call(
+                    address,
+                    request.expect("the request is well-formed"),
+                    limits,
+                )
+                .await;
+            assert_eq!(answer.expect("the server answers").status, 200);
+            close(&pool, address);
+            tokio::task::yield_now().await;
+        }
+    });
+    assert_eq!(server.join().expect("the server ends"), [true, true]);
+}
--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -13,6 +13,7 @@
 use sassafrascrank_lead::seat;
 use sassafrascrank_schedule::{
     Engine,
+    Order,
     engine::Succession,
     runner, //
 };
@@ -185,7 +186,7 @@
         }
         for order in engine.take_orders() {
             match order {
-                sassafrascrank_schedule::Order::Announce { wave, done } => self
+                Order::Announce { wave, done } => self
                     .out
                     .requests
                     .push(store::Request::Announce { wave, done }),
@@ -276,6 +277,7 @@
         self.writing = false;
         self.runners.clear();
         self.runners_read = false;
+        self.out.orders.push(Order::Close(None));
         self.out.requests.push(store::Request::Abandon);
         self.out.requests.push(store::Request::Pace {
             jobs: FOLLOWER_PACE,
--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -145,6 +145,10 @@
                     outcome,
                 }
             }
+            Order::Close(address) => {
+                self.runners.close(address);
+                return;
+            }
             // The store publishes it.
             Order::Announce { .. } => return,
         };
--- a/crates/control/src/port/runners.rs
+++ b/crates/control/src/port/runners.rs
@@ -1,6 +1,9 @@
 //! Orders to runners.
 
-use core::future::Future;
+use core::{
+    future::Future,
+    net::SocketAddr, //
+};
 use sassafrascrank_job::id::Task;
 use sassafrascrank_schedule::order::{
     Look, Pace, Start, Stop,
@@ -29,6 +32,9 @@
     /// Sets the share at which a task works.
     fn pace(&self, order: &Pace) -> impl Future<Output = Answer<()>>;
 
+    /// Closes idle connections to an address, or to all.
+    fn close(&self, address: Option<SocketAddr>);
+
     /// Asks which runners may run a step; `None` if there is no answer.
     fn advise(&self, step: Task, runners: &[Arc<str>]) -> impl Future<Output = Option<Approval>>;
 }
--- a/crates/schedule/src/engine/list.rs
+++ b/crates/schedule/src/engine/list.rs
@@ -6,6 +6,7 @@
         Kind,
         Note, //
     },
+    order::Order,
     runner::{
         self,
         Change,
@@ -119,6 +120,9 @@
         self.pools[runner.pool]
             .runners
             .retain(|&other| other != key);
+        if runner.address.is_some() {
+            self.orders.push(Order::Close(runner.address));
+        }
         if self.runner_index.get(&runner.id) == Some(&key) {
             self.runner_index.remove(&runner.id);
         }
--- a/crates/schedule/src/order/order.rs
+++ b/crates/schedule/src/order/order.rs
@@ -138,6 +138,8 @@
     Hosts,
     /// Moves or maintains a host.
     Host(Host),
+    /// Closes idle connections to a runner that is gone, or to all runners after the role was lost.
+    Close(Option<SocketAddr>),
     /// Publishes the state of a wave.
     Announce {
         /// Number of the wave.
--- a/crates/schedule/tests/engine/host.rs
+++ b/crates/schedule/tests/engine/host.rs
@@ -107,3 +107,16 @@
     rig.run(300);
     assert_eq!(rig.ordered, ["host-r0", "host-r1"]);
 }
+
+/// Guards against connections to runners that are gone, which use up descriptors over a long day.
+#[test]
+fn connections_to_a_runner_that_is_gone_are_closed() {
+    let mut rig = Rig::new(3, 1);
+    let address = rig.sites["r0"].listed.address;
+    let names = vec!["host-r0".into()];
+    rig.engine
+        .wave(1, names, Duration::from_secs(20), 1, None, rig.time());
+    rig.run(2_500);
+    assert!(rig.sites.contains_key("r0+"), "{}", rig.timeline());
+    assert_eq!(rig.closed.first(), Some(&address));
+}
--- a/crates/schedule/tests/engine/rig/carry.rs
+++ b/crates/schedule/tests/engine/rig/carry.rs
@@ -46,6 +46,10 @@
             Order::Advise { step, runners, .. } => self.advise(step, runners),
             Order::Hosts => Report::Hosts(Some(self.list_hosts())),
             Order::Host(order) => self.order_host(&order),
+            Order::Close(address) => {
+                self.closed.extend(address);
+                return;
+            }
             Order::Announce { wave, done } => {
                 self.announced.push((wave, done));
                 return;
--- a/crates/schedule/tests/engine/rig/rig.rs
+++ b/crates/schedule/tests/engine/rig/rig.rs
@@ -6,6 +6,7 @@
     config,
     job, //
 };
+use core::net::SocketAddr;
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::prelude::*;
 use sassafrascrank_schedule::{
@@ -78,6 +79,8 @@
     epoch: u64,
     /// Hosts that the log names as ordered.
     pub(crate) ordered: Vec<String>,
+    /// Addresses of runners to which connections were closed.
+    pub(crate) closed: Vec<SocketAddr>,
     /// Answers to orders to hosts.
     pub(crate) answers: Vec<Report>,
     /// Orders to hosts that will be carried out without an answer.
@@ -135,6 +138,7 @@
             rules,
             epoch: EPOCH_OF_FIRST,
             ordered: Vec::new(),
+            closed: Vec::new(),
             answers: Vec::new(),
             mute_hosts: 0,
             announced: Vec::new(),
