fix(schedule): keep the room of a gang's later attempt until it has ended

A gang was cut off with its runners, given up after its leases and started again. When the cut healed, the first attempt turned out to be done, and the runs of the second one counted as ended too, so their room was given away while they ran.

Change: the end of a member stands only for members of the same attempt; others are stopped because their tasks are done, and keep their room until their ends are listed.

Measured: the new test shows starts beside the running gang, and stops of runs that the leader does not know, without the change.

--- a/crates/schedule/src/engine/end.rs
+++ b/crates/schedule/src/engine/end.rs
@@ -74,7 +74,7 @@
         let Some(run) = run.and_then(|run| self.detach(run)) else {
             // The run was given up after its lease. Its result still counts if nobody else has it.
             if end.how == How::Done && known {
-                self.complete_step(task, now);
+                self.complete_step(task, end.attempt, now);
             }
             return;
         };
@@ -84,7 +84,7 @@
             How::Done => {
                 self.trust(place);
                 self.learn_time(&run, now);
-                self.complete_step(task, now);
+                self.complete_step(task, end.attempt, now);
             }
             How::Failed => self.fail(task, place, now),
             How::Stopped | How::Lapsed | How::Broken | How::Alone => {
--- a/crates/schedule/src/engine/gang.rs
+++ b/crates/schedule/src/engine/gang.rs
@@ -16,8 +16,8 @@
 use std::collections::HashMap;
 
 impl Engine {
-    /// Notes that a task is done; the end of one member of a gang stands for all.
-    pub(super) fn complete_step(&mut self, task: TaskKey, now: Time) {
+    /// Notes that an attempt of a task is done; the end of one member of a gang stands for all members of that attempt.
+    pub(super) fn complete_step(&mut self, task: TaskKey, attempt: u32, now: Time) {
         let Some(work) = self.works.get(task.work) else {
             return;
         };
@@ -28,9 +28,11 @@
         }
         for index in 0..shape.count {
             let member = task.step().task(index);
-            let runs = self.runs_of(member);
+            // The members end together, and each end is listed by its runner. Runs of a later attempt go on, until they
+            // are stopped because the task is done.
+            let ended = |run: &run::Key| self.runs[*run].attempt == attempt;
+            let runs: Vec<run::Key> = self.runs_of(member).into_iter().filter(ended).collect();
             for run in runs {
-                // The members end together, and each end is listed by its runner.
                 self.detach(run);
             }
             self.complete(member, now);
--- a/crates/schedule/tests/engine/lease.rs
+++ b/crates/schedule/tests/engine/lease.rs
@@ -1,6 +1,7 @@
 //! Leases of runs at runners that don't answer.
 
 use crate::rig::{
+    ROOM,
     Rig,
     step, //
 };
@@ -81,3 +82,39 @@
     rig.run(3_000);
     insta::assert_snapshot!(rig.timeline());
 }
+
+/// Guards against members of a later attempt that count as ended, and whose room is given away while they run, because
+/// an earlier attempt of their gang turned out to be done.
+#[test]
+fn late_done_end_of_a_gang_stops_its_later_attempt() {
+    let mut rig = Rig::new(2, 1);
+    rig.work = |_| Some(std::time::Duration::from_millis(2_000));
+    let gang = |count| Step {
+        gang: true,
+        spread: Some(1),
+        ..step(count)
+    };
+    rig.submit(1, vec![gang(2)]);
+    rig.run(200);
+    // The gang is done during the cut, but its leases end before the leader hears of it.
+    rig.cut.extend(["r0".to_owned(), "r1".to_owned()]);
+    rig.mark("cut");
+    rig.add_runner("r8", "pool", "rack8");
+    rig.add_runner("r9", "pool", "rack9");
+    rig.set_stop_time(std::time::Duration::from_millis(600));
+    rig.run(4_600);
+    rig.cut.clear();
+    rig.mark("reachable");
+    // They take the whole room of the runners.
+    rig.submit(2, vec![step(16)]);
+    let mut most = 0;
+    for _ in 0..50 {
+        rig.run(20);
+        most = rig
+            .sites
+            .values()
+            .fold(most, |most, site| most.max(site.worker.runs.len()));
+    }
+    insta::assert_snapshot!(rig.timeline());
+    assert!(most as u64 <= ROOM, "{most} runs at once");
+}
