perf(schedule): store each host of a wave under a key of its own

Cause: the beginning of each host's maintenance rewrote the list of all hosts that had begun, which all entries read; a wave over half of 3,003 hosts writes lists of 17 KB.

Change: the log holds a record for each host and one for the end of the wave, and the fold joins them.

--- a/crates/job/src/book/book.rs
+++ b/crates/job/src/book/book.rs
@@ -103,9 +103,16 @@
             }
             Record::Wave(wave) => {
                 let number = wave.number;
-                let known = self.waves.get(&number).map_or(0, |known| known.epoch);
-                if wave.epoch >= known {
-                    self.waves.insert(number, wave);
+                let known = self.waves.entry(number).or_insert_with(|| Wave {
+                    number,
+                    ..Wave::default()
+                });
+                known.epoch = known.epoch.max(wave.epoch);
+                known.done |= wave.done;
+                for host in wave.begun {
+                    if !known.begun.contains(&host) {
+                        known.begun.push(host);
+                    }
                 }
                 Change::Waved(number)
             }
--- a/crates/job/src/record/record.rs
+++ b/crates/job/src/record/record.rs
@@ -26,6 +26,9 @@
 }
 
 /// Hosts of a maintenance wave that have begun their maintenance.
+///
+/// The log holds a record for each host and one for the end of the wave, so that each takes few bytes; the fold joins
+/// them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Wave {
     /// Number of the wave.
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -148,7 +148,13 @@
             pack(&WireProgress::from(progress.as_ref())),
         ),
         Record::Leader(leader) => (LEADER_KEY.to_owned(), pack(&WireLeader::from(leader))),
-        Record::Wave(wave) => (format!("w{}", wave.number), pack(&WireWave::from(wave))),
+        Record::Wave(wave) => {
+            let host = wave.begun.first().map_or("", |host| &**host);
+            (
+                format!("w{}/{host}", wave.number),
+                pack(&WireWave::from(wave)),
+            )
+        }
         Record::Ordered(ordered) => (
             format!("h{}", ordered.host),
             pack(&WireOrdered::from(ordered)),
@@ -173,7 +179,8 @@
     let unknown = || Error::Key(key.chars().take(40).collect());
     let (kind, name) = key.split_at_checked(1).ok_or_else(unknown)?;
     if kind == "w" {
-        let number = name.parse().map_err(|_| unknown())?;
+        let number = name.split('/').next().unwrap_or_default();
+        let number = number.parse().map_err(|_| unknown())?;
         let wire: WireWave = unpack(key, value)?;
         return Ok(Record::Wave(wire.with_number(number)));
     }
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -222,7 +222,7 @@
             let left = |name: &&Arc<str>| index.contains_key(*name) && !wave.begun.contains(*name);
             if !wave.done && known && wave.hosts.iter().find(left).is_none() {
                 wave.done = true;
-                self.fleet.unstored.push(wave.number);
+                self.fleet.unstored.push((wave.number, None));
                 news.push((wave.number, true));
             }
         }
@@ -424,9 +424,9 @@
         let ending = host.ending.take();
         if let Some(Task::Maintain(wave)) = host.task
             && let Some(wave) = self.fleet.waves.get_mut(&wave)
-            && wave.begun.insert(name)
+            && wave.begun.insert(Arc::clone(&name))
         {
-            self.fleet.unstored.push(wave.number);
+            self.fleet.unstored.push((wave.number, Some(name)));
         }
         if let Some(runner) = ending {
             self.gone(runner, "host-ordered", now);
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -47,10 +47,13 @@
                 }
             }
         }
-        for wave in core::mem::take(&mut self.fleet.unstored) {
-            if let Some(record) = self.fleet.record(wave, self.epoch) {
-                records.push(Record::Wave(record));
-            }
+        for (number, host) in core::mem::take(&mut self.fleet.unstored) {
+            records.push(Record::Wave(record::Wave {
+                number,
+                epoch: self.epoch,
+                done: host.is_none(),
+                begun: host.into_iter().collect(),
+            }));
         }
         for key in core::mem::take(&mut self.fleet.unnamed) {
             if let Some(host) = self.fleet.hosts.get(key) {
--- a/crates/schedule/src/fleet/fleet.rs
+++ b/crates/schedule/src/fleet/fleet.rs
@@ -7,7 +7,6 @@
     host, //
 };
 use sassafrascrank_base::prelude::*;
-use sassafrascrank_job::record;
 use slotmap::SlotMap;
 use std::{
     collections::{
@@ -26,8 +25,8 @@
     pub(crate) index: HashMap<Arc<str>, host::Key>,
     /// Waves by number.
     pub(crate) waves: BTreeMap<u64, Wave>,
-    /// Waves whose progress the log lacks.
-    pub(crate) unstored: Vec<u64>,
+    /// Waves with hosts whose maintenance has begun, or `None` for their end, that the log lacks.
+    pub(crate) unstored: Vec<(u64, Option<Arc<str>>)>,
     /// When former leaders last ordered hosts, which are left alone for a while after that.
     pub(crate) before: HashMap<Arc<str>, Time>,
     /// Hosts to be ordered that the log does not name as such.
@@ -59,17 +58,6 @@
         }
     }
 
-    /// Returns the durable state of a wave.
-    pub fn record(&self, number: u64, epoch: u64) -> Option<record::Wave> {
-        let wave = self.waves.get(&number)?;
-        Some(record::Wave {
-            number,
-            epoch,
-            begun: wave.begun.iter().cloned().collect(),
-            done: wave.done,
-        })
-    }
-
     /// Returns the hosts of a wave that are in maintenance, or that this leader or a former one may have ordered to it.
     ///
     /// `blocked` tells whether an order by a former leader at some time may not show in the host list yet.
--- a/crates/schedule/tests/engine/host.rs
+++ b/crates/schedule/tests/engine/host.rs
@@ -118,6 +118,40 @@
     insta::assert_snapshot!(rig.timeline());
 }
 
+/// Guards against a leader that maintains hosts again, or forgets some, because the log holds a part of the wave.
+#[test]
+fn wave_goes_on_under_another_leader() {
+    let mut rig = Rig::new(4, 1);
+    let names: Vec<Arc<str>> = (0..4)
+        .map(|index| format!("host-r{index}").into())
+        .collect();
+    let wave = |rig: &mut Rig| {
+        let now = rig.time();
+        let stored = rig.stored_wave(1);
+        rig.engine.wave(
+            1,
+            names.clone(),
+            Duration::from_secs(30),
+            2,
+            stored.as_ref(),
+            now,
+        );
+    };
+    wave(&mut rig);
+    rig.run(1_000);
+    rig.take_over();
+    wave(&mut rig);
+    rig.run(12_000);
+    let stored = rig.stored_wave(1).expect("the log holds the wave");
+    insta::assert_snapshot!(format!(
+        "{} of 4 hosts, done {}\n{}",
+        stored.begun.len(),
+        stored.done,
+        rig.timeline()
+    ));
+    assert_eq!(rig.timeline().matches("maintain").count(), 4);
+}
+
 /// Guards against connections to runners that are gone, which use up descriptors over a long day.
 #[test]
 fn connections_to_a_runner_that_is_gone_are_closed() {
--- a/crates/schedule/tests/engine/rig/rig.rs
+++ b/crates/schedule/tests/engine/rig/rig.rs
@@ -8,7 +8,10 @@
 };
 use core::net::SocketAddr;
 use sassafrascrank_base::prelude::*;
-use sassafrascrank_job::prelude::*;
+use sassafrascrank_job::{
+    prelude::*,
+    record, //
+};
 use sassafrascrank_schedule::{
     config::Rules,
     engine::{
@@ -189,6 +192,11 @@
         }
     }
 
+    /// Returns what the log holds of a wave.
+    pub(crate) fn stored_wave(&self, number: u64) -> Option<record::Wave> {
+        self.book.waves().get(&number).cloned()
+    }
+
     /// Lets each stop take that long.
     pub(crate) fn set_stop_time(&mut self, time: Duration) {
         for site in self.sites.values_mut() {
