refactor: order moves for labels by name, and split the serialised records

Cause: the labels that a pool lacks stood in a hash map whose order depends on a random seed, and hosts were moved in that order, so equal states could lead to different moves; decisions may not depend on randomness that is not passed in.

Change: the labels are sorted, the negation is gone, and the leader's own records are in record/lead.rs. Nothing else changes.

--- a/crates/job/src/record/mod.rs
+++ b/crates/job/src/record/mod.rs
@@ -1,5 +1,6 @@
 //! Records of the log and their serialised form.
 
+mod lead;
 mod record;
 mod wire;
 
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -1,12 +1,13 @@
 //! Serialised records: a text key and a MessagePack value.
 
 use super::{
-    Leader,
-    Ordered,
     Record,
-    Turn,
-    Turns,
-    Wave, //
+    lead::{
+        WireLeader,
+        WireOrdered,
+        WireTurns,
+        WireWave, //
+    },
 };
 use crate::{
     Id, Job, Progress, Repeat, Resource, Step, Terms,
@@ -95,49 +96,6 @@
     tasks: Vec<WireTask>,
 }
 
-#[derive(serde::Deserialize, serde::Serialize)]
-struct WireLeader {
-    epoch: u64,
-    holder: String,
-    born: u64,
-    resigned: bool,
-    /// Microseconds since the Unix epoch.
-    runs_until: u64,
-    #[serde(default)]
-    capacity: u32,
-}
-
-#[derive(serde::Deserialize, serde::Serialize)]
-struct WireWave {
-    epoch: u64,
-    begun: Vec<String>,
-    done: bool,
-}
-
-#[derive(serde::Deserialize, serde::Serialize)]
-struct WireOrdered {
-    epoch: u64,
-    /// Microseconds since the Unix epoch.
-    at: u64,
-}
-
-#[derive(serde::Deserialize, serde::Serialize)]
-struct WireTurn {
-    pool: String,
-    mean: f64,
-    usual: Option<f64>,
-    /// Pool and milliseconds.
-    next: Option<(String, u64)>,
-}
-
-#[derive(serde::Deserialize, serde::Serialize)]
-struct WireTurns {
-    epoch: u64,
-    pools: Vec<WireTurn>,
-    /// Pool and microseconds since the Unix epoch.
-    latest: Option<(String, u64)>,
-}
-
 /// Returns the key and the value of a record.
 pub fn encode(record: &Record) -> (String, Vec<u8>) {
     match record {
@@ -221,7 +179,7 @@
     })
 }
 
-fn millis(span: Duration) -> u64 {
+pub(super) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -391,111 +349,3 @@
         }
     }
 }
-
-impl From<&Leader> for WireLeader {
-    fn from(leader: &Leader) -> Self {
-        Self {
-            epoch: leader.epoch,
-            holder: leader.holder.to_string(),
-            born: leader.born,
-            resigned: leader.resigned,
-            runs_until: leader.runs_until.as_micros(),
-            capacity: leader.capacity,
-        }
-    }
-}
-
-impl From<WireLeader> for Leader {
-    fn from(wire: WireLeader) -> Self {
-        Self {
-            epoch: wire.epoch,
-            holder: wire.holder.into(),
-            born: wire.born,
-            resigned: wire.resigned,
-            runs_until: Time::from_micros(wire.runs_until),
-            capacity: wire.capacity,
-        }
-    }
-}
-
-impl From<&Wave> for WireWave {
-    fn from(wave: &Wave) -> Self {
-        Self {
-            epoch: wave.epoch,
-            begun: wave.begun.iter().map(|host| host.to_string()).collect(),
-            done: wave.done,
-        }
-    }
-}
-
-impl WireWave {
-    fn with_number(self, number: u64) -> Wave {
-        Wave {
-            number,
-            epoch: self.epoch,
-            begun: self.begun.into_iter().map(Arc::from).collect(),
-            done: self.done,
-        }
-    }
-}
-
-impl From<&Turns> for WireTurns {
-    fn from(turns: &Turns) -> Self {
-        let row = |turn: &Turn| WireTurn {
-            pool: turn.pool.to_string(),
-            mean: turn.mean,
-            usual: turn.usual,
-            next: turn
-                .next
-                .as_ref()
-                .map(|(pool, after)| (pool.to_string(), millis(*after))),
-        };
-        Self {
-            epoch: turns.epoch,
-            pools: turns.pools.iter().map(row).collect(),
-            latest: turns
-                .latest
-                .as_ref()
-                .map(|(pool, at)| (pool.to_string(), at.as_micros())),
-        }
-    }
-}
-
-impl From<WireTurns> for Turns {
-    fn from(wire: WireTurns) -> Self {
-        let row = |turn: WireTurn| Turn {
-            pool: turn.pool.into(),
-            mean: turn.mean,
-            usual: turn.usual,
-            next: turn
-                .next
-                .map(|(pool, after)| (pool.into(), Duration::from_millis(after))),
-        };
-        Self {
-            epoch: wire.epoch,
-            pools: wire.pools.into_iter().map(row).collect(),
-            latest: wire
-                .latest
-                .map(|(pool, at)| (pool.into(), Time::from_micros(at))),
-        }
-    }
-}
-
-impl From<&Ordered> for WireOrdered {
-    fn from(ordered: &Ordered) -> Self {
-        Self {
-            epoch: ordered.epoch,
-            at: ordered.at.as_micros(),
-        }
-    }
-}
-
-impl WireOrdered {
-    fn with_host(self, host: &str) -> Ordered {
-        Ordered {
-            epoch: self.epoch,
-            host: host.into(),
-            at: Time::from_micros(self.at),
-        }
-    }
-}
--- a/crates/schedule/src/engine/balance.rs
+++ b/crates/schedule/src/engine/balance.rs
@@ -29,8 +29,11 @@
     record, //
 };
 use std::{
-    collections::HashMap,
-    sync::Arc, //
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::Arc,
 };
 
 /// Time between two rounds.
@@ -266,10 +269,10 @@
     }
 
     /// Returns the labels and racks that the work of a pool asks for, with the number of hosts that the pool lacks of
-    /// each, below zero if it has more than that.
-    fn lacking(&self, need: Need) -> HashMap<Arc<str>, f64> {
+    /// each, below zero if it has more than that. They are sorted, so that equal states lead to equal moves.
+    fn lacking(&self, need: Need) -> BTreeMap<Arc<str>, f64> {
         let shares = self.fleet.demand.shares(need.pool);
-        let mut lacking: HashMap<Arc<str>, f64> = shares
+        let mut lacking: BTreeMap<Arc<str>, f64> = shares
             .map(|(label, share)| (Arc::clone(label), share * need.want as f64))
             .collect();
         if lacking.is_empty() {
@@ -316,8 +319,8 @@
         if need.have > need.want && !keys.is_empty() {
             // Hosts with labels and racks of which the pool has more than it needs go first.
             let lacking = self.lacking(need);
-            let excess = |key: &host::Key| -gain(&self.fleet.hosts[*key], &lacking);
-            keys.sort_by(|one, other| excess(other).total_cmp(&excess(one)));
+            let gain = |key: &host::Key| gain(&self.fleet.hosts[*key], &lacking);
+            keys.sort_by(|one, other| gain(one).total_cmp(&gain(other)));
         }
         for key in keys {
             if need.have <= need.want {
@@ -385,7 +388,7 @@
 }
 
 /// Returns how much a pool gains by a host, from the number of hosts that it lacks of each label and rack.
-fn gain(host: &Host, lacking: &HashMap<Arc<str>, f64>) -> f64 {
+fn gain(host: &Host, lacking: &BTreeMap<Arc<str>, f64>) -> f64 {
     let labels = host.listed.labels.iter();
     labels.filter_map(|label| lacking.get(label)).sum()
 }
