feat(control): log failed reads of the log

A read of the operators' records that failed had no line, so logs could not tell whether a configuration that was late at an entry had been read late, decoded late or dropped. Each failure is counted as `read-failed`, and failures 1, 2, 4, 8 and so on of a row get a line with the topic, the time that the read took and its error. A timeout names the bytes of the body that had arrived, which tells a log that answers late from a transfer that was cut off.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -5,6 +5,10 @@
 use core::{
     future::Future,
     net::SocketAddr,
+    sync::atomic::{
+        AtomicUsize,
+        Ordering, //
+    },
     time::Duration, //
 };
 use http_body_util::{
@@ -16,6 +20,7 @@
 use hyper::{
     Request,
     StatusCode,
+    body::Frame,
     client::conn::http1, //
 };
 use hyper_util::rt::TokioIo;
@@ -133,11 +138,13 @@
         request: Message,
         limits: Limits,
     ) -> Result<Response, AttemptError> {
-        let exchange = exchange(&mut transport.sender, request, limits.max_response_bytes);
+        let received = AtomicUsize::new(0);
+        let exchange = exchange(&mut transport.sender, request, limits, &received);
         let Ok(result) = timeout(limits.response_timeout, exchange).await else {
             return Err(AttemptError::Failed(Failure::Timeout {
                 sent: true,
                 after: limits.response_timeout,
+                received: received.into_inner(),
             }));
         };
         let response = result?;
@@ -170,10 +177,12 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT))
 }
 
+/// Sends a request and reads the whole response. Counts the bytes of its body in `received`.
 async fn exchange(
     sender: &mut http1::SendRequest<Full<Bytes>>,
     request: Message,
-    limit: usize,
+    limits: Limits,
+    received: &AtomicUsize,
 ) -> Result<Response, AttemptError> {
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
@@ -188,8 +197,14 @@
         }
     };
     let status = response.status();
-    let body = Limited::new(response.into_body(), limit).collect().await;
-    match body {
+    let limit = limits.max_response_bytes;
+    let count = |frame: Frame<Bytes>| {
+        let bytes = frame.data_ref().map_or(0, Bytes::len);
+        received.fetch_add(bytes, Ordering::Relaxed);
+        frame
+    };
+    let body = Limited::new(response.into_body(), limit).map_frame(count);
+    match body.collect().await {
         Ok(body) => Ok(Response {
             status,
             body: body.to_bytes(),
@@ -212,6 +227,7 @@
         Err(_) => Err(Failure::Timeout {
             sent: false,
             after: limit,
+            received: 0,
         }),
     }
 }
--- a/crates/client/src/failure.rs
+++ b/crates/client/src/failure.rs
@@ -15,12 +15,17 @@
     )]
     ConnectionLost(String),
     /// The connection could not be opened, or the response did not arrive, in time.
-    #[error("no response arrived within {} ms: check the effect of the request if it was sent", after.as_millis())]
+    #[error(
+        "no complete response arrived within {} ms, only {received} bytes of its body: check the effect of the request if it was sent",
+        after.as_millis()
+    )]
     Timeout {
         /// Whether the request may have been sent.
         sent: bool,
         /// Time that the client waited.
         after: Duration,
+        /// Bytes of the response body that arrived in that time.
+        received: usize,
     },
     /// The response body exceeds this number of bytes.
     #[error("the response has more than {0} bytes: request less")]
--- a/crates/client/tests/reset.rs
+++ b/crates/client/tests/reset.rs
@@ -57,6 +57,7 @@
         Timeout {
             sent: true,
             after: 50ms,
+            received: 0,
         },
     )
     ");
--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -193,7 +193,25 @@
                 changes,
                 complete,
             } => self.update_runners(claim, changes, complete, now),
-            store::Event::ReadFailed { topic } => self.handle_read_failure(topic, now),
+            store::Event::ReadFailed {
+                topic,
+                failures,
+                took,
+                reason,
+            } => {
+                let event = Event::new("read-failed", now)
+                    .with("topic", Value::Code(topic.as_str()))
+                    .with("failures", Value::Count(failures.into()))
+                    .with("took", Value::Duration(took))
+                    .with("detail", Value::Text(reason.into()));
+                // Powers of two keep the number of lines small in a long outage.
+                let event = match failures.is_power_of_two() {
+                    true => event,
+                    false => event.metrics_only(),
+                };
+                self.out.events.push(event);
+                self.handle_read_failure(topic, now);
+            }
             store::Event::Accepted { token, stored } => self.handle_accepted(token, stored, now),
             store::Event::Written {
                 epoch,
--- a/crates/control/src/store/message.rs
+++ b/crates/control/src/store/message.rs
@@ -86,6 +86,12 @@
     ReadFailed {
         /// The topic.
         topic: Topic,
+        /// Number of reads of the topic that have failed in a row.
+        failures: u32,
+        /// Time that the read took.
+        took: Duration,
+        /// Why it failed.
+        reason: String,
     },
     /// Result of the append of a caller's record.
     Accepted {
--- a/crates/control/src/store/tail.rs
+++ b/crates/control/src/store/tail.rs
@@ -67,6 +67,7 @@
 ) {
     // The generation of the last read, and the offset after it.
     let mut position: Option<(u64, u64)> = None;
+    let mut failures = 0;
     loop {
         let Some(generation) = handle.generation.get() else {
             handle.wake.notified().await;
@@ -80,6 +81,7 @@
         };
         match result {
             Ok(page) => {
+                failures = 0;
                 let complete = next.is_none();
                 position = Some((generation, page.next));
                 let last = page.is_last();
@@ -95,13 +97,21 @@
                 }
             }
             Err(ReadError::Expired) => position = None,
-            Err(ReadError::Unavailable(_)) => {
+            Err(ReadError::Unavailable(reason)) => {
                 // Of operators and runners only the latest record of each key counts. These are fewer than all records
                 // that were missed.
                 if topic != Topic::Jobs {
                     position = None;
                 }
-                events.send(Event::ReadFailed { topic }).await;
+                failures += 1;
+                let took = clock.now().since(started);
+                let event = Event::ReadFailed {
+                    topic,
+                    failures,
+                    took,
+                    reason,
+                };
+                events.send(event).await;
                 sleep(RETRY_PAUSE).await;
             }
         }
--- a/crates/control/tests/reads.rs
+++ b/crates/control/tests/reads.rs
@@ -157,8 +157,13 @@
     };
     control.handle_event(stored, START);
     answers.push(format!("{:?}", answer(&mut control, START)));
-    let topic = Topic::Jobs;
-    control.handle_event(Event::ReadFailed { topic }, START);
+    let failed = Event::ReadFailed {
+        topic: Topic::Jobs,
+        failures: 1,
+        took: Duration::ZERO,
+        reason: String::new(),
+    };
+    control.handle_event(failed, START);
     control.tick(START, START);
     answers.push(ready(&mut control));
     insta::assert_snapshot!(answers.join("\n"));
--- a/crates/control/tests/simulation/entry.rs
+++ b/crates/control/tests/simulation/entry.rs
@@ -303,12 +303,13 @@
         }
         if self.entries[index].log_cut_until > self.now {
             self.entries[index].newest = None;
-            let topic = port::Topic::Jobs;
-            self.push_after(
-                50,
-                90,
-                Event::Store(index, incarnation, store::Event::ReadFailed { topic }),
-            );
+            let failed = store::Event::ReadFailed {
+                topic: port::Topic::Jobs,
+                failures: 1,
+                took: Duration::ZERO,
+                reason: String::new(),
+            };
+            self.push_after(50, 90, Event::Store(index, incarnation, failed));
             self.push_after(100, 150, Event::Read(index, incarnation));
             return;
         }
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -68,7 +68,7 @@
                 reason,
             },
             Failure::ConnectionLost(reason) => Error::Unavailable { sent: true, reason },
-            Failure::Timeout { sent, after } => Error::Timeout { sent, after },
+            Failure::Timeout { sent, after, .. } => Error::Timeout { sent, after },
         })
     }
 }
