fix(adapter): read large records over small links

Callers were answered by a configuration that had been replaced more than 3 s before (CONFIG), at entries behind links of 10 Mbit/s.

Cause: the whole response to a read of the log had to arrive within 0.7 s after the wait for records. A configuration of 3,000 to 4,500 queues takes about as long over such a link, or longer beside the records of jobs. The read was given up while it arrived, and the next one, of the newest records in base64, began anew, so an entry could read the record never, or only once the jobs were few.

The limit now holds for the beginning of the response.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -18,17 +18,22 @@
     Limited, //
 };
 use hyper::{
-    Request,
-    StatusCode,
-    body::Frame,
-    client::conn::http1, //
+    Request, StatusCode,
+    body::{
+        Frame,
+        Incoming, //
+    },
+    client::conn::http1,
 };
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     task::AbortHandle,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 /// Time that sent data may stay unacknowledged before the operating system closes the connection.
@@ -42,12 +47,26 @@
 pub struct Limits {
     /// Time for opening a connection.
     pub connect_timeout: Duration,
-    /// Time from sending the request to the end of the response body.
+    /// Time from sending the request to the end of the response, or only to its head if `transfer` is set.
     pub response_timeout: Duration,
+    /// Time limits of a large response body; `None` if the whole response is small.
+    pub transfer: Option<Transfer>,
     /// Largest response body in bytes.
     pub max_response_bytes: usize,
 }
 
+/// Time limits of a response body that may be large.
+///
+/// How long such a body takes depends on the link. A limit on the whole response would end transfers that make progress,
+/// and repeating them would fail in the same way.
+#[derive(Clone, Copy, Debug)]
+pub struct Transfer {
+    /// Longest time without a further part of the body.
+    pub stall_timeout: Duration,
+    /// Time for the whole body. It bounds a transfer that goes on without coming to an end.
+    pub total_timeout: Duration,
+}
+
 /// A response with its whole body.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -139,15 +158,34 @@
         limits: Limits,
     ) -> Result<Response, AttemptError> {
         let received = AtomicUsize::new(0);
-        let exchange = exchange(&mut transport.sender, request, limits, &received);
-        let Ok(result) = timeout(limits.response_timeout, exchange).await else {
-            return Err(AttemptError::Failed(Failure::Timeout {
-                sent: true,
-                after: limits.response_timeout,
-                received: received.into_inner(),
-            }));
+        let expired = |after| {
+            let received = received.load(Ordering::Relaxed);
+            let sent = true;
+            AttemptError::Failed(Failure::Timeout {
+                sent,
+                after,
+                received,
+            })
+        };
+        let limit = limits.max_response_bytes;
+        let head = send(&mut transport.sender, request);
+        let response = match limits.transfer {
+            None => {
+                let whole = async { collect(head.await?, limit, &received).await };
+                let whole = timeout(limits.response_timeout, whole).await;
+                whole.map_err(|_| expired(limits.response_timeout))??
+            }
+            Some(transfer) => {
+                let head = timeout(limits.response_timeout, head).await;
+                let head = head.map_err(|_| expired(limits.response_timeout))??;
+                let body = collect(head, limit, &received);
+                tokio::select! {
+                    biased;
+                    response = body => response?,
+                    after = give_up(transfer, &received) => return Err(expired(after)),
+                }
+            }
         };
-        let response = result?;
         self.transport = Some(transport);
         Ok(response)
     }
@@ -177,27 +215,29 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT))
 }
 
-/// Sends a request and reads the whole response. Counts the bytes of its body in `received`.
-async fn exchange(
+/// Sends a request and reads the head of the response.
+async fn send(
     sender: &mut http1::SendRequest<Full<Bytes>>,
     request: Message,
-    limits: Limits,
+) -> Result<hyper::Response<Incoming>, AttemptError> {
+    sender.try_send_request(request).await.map_err(|mut error| {
+        // `hyper` returns the request if it has not begun to write it.
+        let message = error.take_message();
+        let reason = error.into_error().to_string();
+        match message {
+            Some(request) => AttemptError::Unsent(Box::new(request), reason),
+            None => AttemptError::Failed(Failure::ConnectionLost(reason)),
+        }
+    })
+}
+
+/// Reads the body of a response. Counts its bytes in `received`.
+async fn collect(
+    response: hyper::Response<Incoming>,
+    limit: usize,
     received: &AtomicUsize,
 ) -> Result<Response, AttemptError> {
-    let response = match sender.try_send_request(request).await {
-        Ok(response) => response,
-        Err(mut error) => {
-            // `hyper` returns the request if it has not begun to write it.
-            let message = error.take_message();
-            let reason = error.into_error().to_string();
-            return Err(match message {
-                Some(request) => AttemptError::Unsent(Box::new(request), reason),
-                None => AttemptError::Failed(Failure::ConnectionLost(reason)),
-            });
-        }
-    };
     let status = response.status();
-    let limit = limits.max_response_bytes;
     let count = |frame: Frame<Bytes>| {
         let bytes = frame.data_ref().map_or(0, Bytes::len);
         received.fetch_add(bytes, Ordering::Relaxed);
@@ -218,6 +258,26 @@
     }
 }
 
+/// Waits until a transfer, which counts its bytes in `received`, stalls or takes too long. Returns the time limit that it
+/// has exceeded.
+async fn give_up(transfer: Transfer, received: &AtomicUsize) -> Duration {
+    let watch = async {
+        let mut before = received.load(Ordering::Relaxed);
+        loop {
+            sleep(transfer.stall_timeout).await;
+            let after = received.load(Ordering::Relaxed);
+            if after == before {
+                return;
+            }
+            before = after;
+        }
+    };
+    match timeout(transfer.total_timeout, watch).await {
+        Ok(()) => transfer.stall_timeout,
+        Err(_) => transfer.total_timeout,
+    }
+}
+
 async fn connect_within<T, E: ToString>(
     limit: Duration,
     attempt: impl Future<Output = Result<T, E>>,
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,7 +8,8 @@
     Connection,
     Limits,
     Message,
-    Response, //
+    Response,
+    Transfer, //
 };
 pub use failure::Failure;
 pub use pool::Pool;
--- a/crates/client/tests/pool.rs
+++ b/crates/client/tests/pool.rs
@@ -30,6 +30,7 @@
         let limits = Limits {
             connect_timeout: Duration::from_secs(10),
             response_timeout: Duration::from_secs(10),
+            transfer: None,
             max_response_bytes: 1_024,
         };
         let request = || {
@@ -77,6 +78,7 @@
         let limits = Limits {
             connect_timeout: Duration::from_secs(10),
             response_timeout: Duration::from_secs(10),
+            transfer: None,
             max_response_bytes: 1_024,
         };
         for close in [
--- a/crates/client/tests/reset.rs
+++ b/crates/client/tests/reset.rs
@@ -43,6 +43,7 @@
         let limits = Limits {
             connect_timeout: Duration::from_secs(2),
             response_timeout: Duration::from_millis(50),
+            transfer: None,
             max_response_bytes: 1_024,
         };
         let request = request.expect("the request is well-formed");
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -115,6 +115,7 @@
         let limits = sassafrascrank_client::Limits {
             connect_timeout: self.limits.connect_timeout,
             response_timeout: self.limits.response_timeout,
+            transfer: None,
             max_response_bytes: MAX_RESPONSE_BYTES,
         };
         Ok(self.connection.call(request, limits).await?)
--- a/crates/tool/src/demo/jobs/deployment.rs
+++ b/crates/tool/src/demo/jobs/deployment.rs
@@ -151,6 +151,7 @@
     let limits = Limits {
         connect_timeout: CONNECT_LIMIT,
         response_timeout: ANSWER_LIMIT,
+        transfer: None,
         max_response_bytes: ANSWER_BYTES_MAX,
     };
     let answer = Connection::new(address).call(request, limits).await.ok()?;
