fix(control): keep appends small enough for small links

A leader sent up to 1 MiB in one append, and callers' jobs were joined up to 64 in number, whatever their size. Behind a link of 10 Mbit/s such an append takes more than a second, so it never arrives: the leader stores nothing more, and callers get no answer.

Appends are limited to 128 KiB, which takes 0.1 s on such a link. In virtual time, with 64 jobs of 20 kB, 0 of 64 callers were answered within 20 s before and all are now; a leader's records were never stored before.

--- a/crates/control/src/store/writer.rs
+++ b/crates/control/src/store/writer.rs
@@ -38,8 +38,9 @@
 const LEADER_NAME: &str = "leader";
 /// Largest number of callers' records in one append.
 const BATCH_LIMIT: usize = 64;
-/// Largest size of one append of the leader. The log's limit is 2 MiB.
-const CHUNK_LIMIT_BYTES: usize = 1 << 20;
+/// Largest size of one append, which a single larger record exceeds. A link of 10 Mbit/s transfers it in 0.1 s, so it
+/// arrives before the append is given up and repeated.
+const CHUNK_LIMIT_BYTES: usize = 128 << 10;
 /// Time for which a caller's record is retried while the log refuses it, and for which it may wait for its turn. It is
 /// a quarter of the shortest objective, so that the caller can still try another entry.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -69,10 +70,8 @@
         self.items.borrow_mut().clear();
     }
 
-    fn take(&self, limit: usize) -> Vec<T> {
-        let mut items = self.items.borrow_mut();
-        let count = items.len().min(limit);
-        items.drain(..count).collect()
+    fn take(&self) -> Option<T> {
+        self.items.borrow_mut().pop_front()
     }
 
     async fn wait(&self) {
@@ -89,6 +88,27 @@
     pub(super) since: Time,
 }
 
+impl Queue<Accept> {
+    /// Removes records for one append, and returns their tokens and the encoded records.
+    fn take_batch(&self) -> (Vec<u64>, Vec<(String, Vec<u8>)>) {
+        let mut items = self.items.borrow_mut();
+        let (mut tokens, mut records) = (Vec::new(), Vec::new());
+        let mut size = 0;
+        while let Some(item) = items.front() {
+            let encoded = record::encode(&item.record);
+            size += encoded.0.len() + encoded.1.len();
+            let full = records.len() == BATCH_LIMIT || size > CHUNK_LIMIT_BYTES;
+            if full && !records.is_empty() {
+                break;
+            }
+            tokens.push(item.token);
+            records.push(encoded);
+            items.pop_front();
+        }
+        (tokens, records)
+    }
+}
+
 /// Appends callers' records until the thread ends.
 pub(super) async fn accept<L: Log>(
     mut appender: Appender<L>,
@@ -99,11 +119,7 @@
 ) {
     loop {
         queue.wait().await;
-        let batch = queue.take(BATCH_LIMIT);
-        let records: Vec<_> = batch
-            .iter()
-            .map(|item| record::encode(&item.record))
-            .collect();
+        let (tokens, records) = queue.take_batch();
         let started = clock.now();
         let mut doubtful = false;
         let stored = loop {
@@ -132,8 +148,7 @@
             }
             refuse_late(&queue, &clock, &events).await;
         };
-        for item in batch {
-            let token = item.token;
+        for token in tokens {
             events.send(Event::Accepted { token, stored }).await;
         }
     }
@@ -178,7 +193,7 @@
     };
     loop {
         queue.wait().await;
-        for next in queue.take(1) {
+        while let Some(next) = queue.take() {
             if next.epoch != epoch.get() {
                 continue;
             }
