fix(schedule): leave runners that never answered out of the usual size of a host

An entry with a huge capacity raised the size that a host of its pool usually has, so the pool seemed to need fewer hosts. Only runners that have answered an order of the leader count.

--- a/crates/schedule/src/engine/balance.rs
+++ b/crates/schedule/src/engine/balance.rs
@@ -192,7 +192,11 @@
     /// pool has none.
     fn usual_size(&self, key: key::Pool) -> Amount {
         let runners = self.pools[key].runners.iter();
-        let sizes = runners.map(|&runner| self.runners[runner].capacity);
+        // An entry of the service list may name no runner, and have any capacity.
+        let answered = runners
+            .map(|&runner| &self.runners[runner])
+            .filter(|runner| runner.fenced);
+        let sizes = answered.map(|runner| runner.capacity);
         let mut sizes: Vec<Resource> = sizes.filter(|size| size.cpu > 0).collect();
         if sizes.is_empty() {
             let hosts = self.fleet.hosts.values();
--- a/crates/schedule/tests/engine/balance.rs
+++ b/crates/schedule/tests/engine/balance.rs
@@ -2,9 +2,11 @@
 
 use crate::harness::{
     Harness,
+    RUNNER_SLOTS,
     step, //
 };
 use sassafrascrank_job::prelude::*;
+use sassafrascrank_schedule::runner::Change;
 
 /// Guards against a pool that gets only two hosts at a time while its tasks wait for accelerators, because only
 /// processors and memory are counted.
@@ -45,6 +47,34 @@
     assert_eq!(working.count(), 2, "{}", harness.timeline());
 }
 
+/// Guards against tasks that wait for seconds while hosts are switched off, because an entry of the service list that no
+/// runner answers for has a huge capacity, and the pool seems to need fewer hosts.
+#[test]
+fn capacity_of_a_runner_that_never_answered_does_not_count() {
+    let mut harness = Harness::new(8, 1);
+    harness.task_duration = |_| None;
+    let mut listed = harness.runners["r0"].listed.clone();
+    harness.run_ms(6_000);
+    listed.id = "other-writer".into();
+    listed.host = "".into();
+    listed.address = ([127, 0, 0, 1], 2).into();
+    listed.capacity.cpu = 1_000_000_000;
+    listed.capacity.memory = 1_000_000_000;
+    harness.unreachable.insert("other-writer".to_owned());
+    let now = harness.time();
+    harness.engine.update_runner(Change::Set(listed), now);
+    // Needs six hosts.
+    let tasks = 6 * u16::try_from(RUNNER_SLOTS).expect("a runner has few slots");
+    harness.submit(1, vec![step(tasks)]);
+    harness.run_ms(2_000);
+    assert_eq!(
+        harness.running_count(),
+        usize::from(tasks),
+        "{}",
+        harness.timeline()
+    );
+}
+
 /// Guards against tasks that wait while hosts with their label are switched off, because hosts without it count as
 /// well.
 #[test]
