fix(schedule): give up tasks that crash the runners that start them

A lost run counts as a crash if the runner gave its last answer within 0.5 s after the start. A draining runner, a host that was ordered away and a rack that failed as a whole do not count. After three crashes in a row the job fails (`job-ended`, reason `crashes`). The count is stored with the progress of the job, so the next leader has it. A crash ends all tasks of its runner, and all of them are suspected; until such a task has run for 0.5 s, no other suspected one starts beside it, and runners with few tasks are preferred. So the second crash tells the cause from the others.

Each crash that is suspected has a line, `crash-suspected`.

--- a/crates/job/src/progress/progress.rs
+++ b/crates/job/src/progress/progress.rs
@@ -40,6 +40,8 @@
     pub done: bool,
     /// Number of failed attempts.
     pub failures: u16,
+    /// Number of runners in a row that may have crashed because of the task.
+    pub crashes: u8,
     /// Number of the last attempt that was ordered.
     pub attempt: u32,
     /// Attempts that may still be running.
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -97,6 +97,13 @@
     /// Runner, its incarnation, its host, attempt.
     assignments: Vec<(String, u64, String, u32)>,
     checkpoint: Option<String>,
+    /// Left out if it is 0, so that entries of versions without it can read the record.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    crashes: u8,
+}
+
+fn is_zero(number: &u8) -> bool {
+    *number == 0
 }
 
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -313,6 +320,7 @@
             attempt: task.attempt,
             assignments: task.assignments.iter().map(row).collect(),
             checkpoint: task.checkpoint.as_deref().map(str::to_owned),
+            crashes: task.crashes,
         }
     }
 }
@@ -338,6 +346,7 @@
             attempt: wire.attempt,
             assignments: wire.assignments.into_iter().map(assignment).collect(),
             checkpoint: wire.checkpoint.map(Arc::from),
+            crashes: wire.crashes,
         }
     }
 }
--- a/crates/schedule/src/engine/gang.rs
+++ b/crates/schedule/src/engine/gang.rs
@@ -113,10 +113,13 @@
     ) -> Option<Vec<runner::Key>> {
         let active = &self.jobs[step.job_key];
         let spec = &active.job.steps[usize::from(step.step)];
+        let occurrence = active.occurrence(step.occurrence)?;
+        let tasks = occurrence.tasks(&active.job, step.step).iter();
+        let crashes = tasks.map(|task| task.crashes).max().unwrap_or_default();
         let mut taken: HashMap<runner::Key, (Resource, u16)> = HashMap::new();
         let mut runners = Vec::new();
         for _ in 0..spec.count {
-            let runner_key = self.choose(step, None, now, |key, runner| {
+            let runner_key = self.choose(step, None, now, crashes, |key, runner| {
                 let (used, count) = taken.get(&key).copied().unwrap_or_default();
                 let mut whole = runner.used;
                 whole += used;
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -2,7 +2,8 @@
 
 use super::{
     Engine,
-    engine::Effect, //
+    engine::Effect,
+    loss::Loss, //
 };
 use crate::{
     fleet::{
@@ -450,7 +451,7 @@
             self.fleet.unstored_waves.push((wave.number, Some(name)));
         }
         if let Some(runner) = ending {
-            self.end_incarnation(runner, "host-ordered", now);
+            self.end_incarnation(runner, Loss::HostOrdered, now);
         }
     }
 }
--- /dev/null
+++ b/crates/schedule/src/engine/loss.rs
@@ -0,0 +1,172 @@
+//! Runs whose end was not reported, and tasks that crash their runners.
+
+use super::Engine;
+use crate::{
+    job::{
+        Run,
+        run::{
+            self,
+            Stage, //
+        },
+    },
+    note::Kind,
+    runner::{
+        self,
+        Runner, //
+    },
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::progress::Outcome;
+
+/// Time after its start in which a task that crashes its runner does so. A task that runs for longer is not the cause of
+/// what happens to its runner.
+const CRASH_WINDOW: Duration = Duration::from_millis(500);
+/// Number of runners that a task may crash before its job is given up. A runner that crashes takes its other tasks along.
+/// Two crashes can be bad luck, since the cause is known only once a task starts apart from other suspected ones.
+const CRASH_LIMIT: u8 = 3;
+/// Largest time between the last answers of runners that fail together.
+const RACK_FAILURE_SPREAD: Duration = Duration::from_secs(1);
+
+/// Why a run is known to be over, although its end was not reported.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Loss {
+    /// The runner no longer lists it.
+    NotListed,
+    /// The runner has not answered until the lease ended.
+    LeaseEnded,
+    /// The host was ordered to move or to begin its maintenance.
+    HostOrdered,
+    /// The host has a later runner.
+    HostReused,
+    /// The runner is listed, or answers, with a later incarnation.
+    Reborn,
+    /// Another runner answers in its place.
+    Replaced,
+}
+
+impl Loss {
+    /// Returns the name for logs and metrics.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotListed => "not-listed",
+            Self::LeaseEnded => "lease-ended",
+            Self::HostOrdered => "host-ordered",
+            Self::HostReused => "host-reused",
+            Self::Reborn => "reborn",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+/// Tells whether a run that was lost may have crashed its runner.
+fn may_have_crashed(run: &Run, runner: &Runner, loss: Loss) -> bool {
+    if runner.leaves_at.is_some() || runner.rack_failed {
+        return false;
+    }
+    let ended = match loss {
+        Loss::NotListed | Loss::HostOrdered => return false,
+        Loss::LeaseEnded => false,
+        Loss::HostReused | Loss::Reborn | Loss::Replaced => true,
+    };
+    match run.started {
+        Some(_) => !has_outlived_trial(run, runner),
+        // A start without an answer counts if the runner has ended. One that is only silent may have been cut off before
+        // the order arrived.
+        None => ended && run.stage != Stage::Inherited,
+    }
+}
+
+/// Tells whether the runner has answered so long after the start of a run that the run has not crashed it.
+fn has_outlived_trial(run: &Run, runner: &Runner) -> bool {
+    let started = run.started;
+    started.is_some_and(|started| runner.last_poll.since(started) >= CRASH_WINDOW)
+}
+
+/// Tells whether a run may still crash its runner.
+fn is_on_trial(run: &Run, now: Time) -> bool {
+    let since = run.started.or(run.adopted);
+    run.crashes > 0 && since.is_none_or(|since| now.since(since) < CRASH_WINDOW)
+}
+
+impl Engine {
+    /// Tells whether a task that may have crashed `crashes` runners may start beside the runs on a runner. Two such tasks do
+    /// not start there within the [`CRASH_WINDOW`], so that only one is suspected if the runner crashes again.
+    pub(super) fn may_share(&self, runner: &Runner, crashes: u8, now: Time) -> bool {
+        let mut runs = runner.runs.iter().map(|&run| &self.runs[run]);
+        crashes == 0 || !runs.any(|run| is_on_trial(run, now))
+    }
+
+    /// Marks the runners of a rack that failed as a whole, so that no task is suspected of it.
+    pub(super) fn mark_rack_failure(&mut self, key: runner::Key) {
+        let Some(runner) = self.runners.get(key) else {
+            return;
+        };
+        let (rack, last_poll) = (runner.rack.clone(), runner.last_poll);
+        let others = self
+            .runners
+            .iter()
+            .filter(|(other, runner)| *other != key && runner.rack == rack && !rack.is_empty());
+        let others: Vec<(runner::Key, &Runner)> = others.collect();
+        let failed = |runner: &Runner| {
+            let spread = runner.last_poll.since(last_poll) + last_poll.since(runner.last_poll);
+            runner.misses > 0 && spread < RACK_FAILURE_SPREAD
+        };
+        if others.is_empty() || !others.iter().all(|(_, runner)| failed(runner)) {
+            return;
+        }
+        let keys: Vec<runner::Key> = others.iter().map(|(other, _)| *other).collect();
+        for key in keys.into_iter().chain([key]) {
+            self.runners[key].rack_failed = true;
+        }
+    }
+
+    /// Returns how many runs on a runner are at risk beside the task that starts there, which may have crashed `crashes`
+    /// runners: all of them, or those that put the task itself at risk.
+    pub(super) fn exposed(&self, runner: &Runner, crashes: u8, now: Time) -> usize {
+        if crashes > 0 {
+            return runner.runs.len();
+        }
+        let runs = runner.runs.iter().map(|&run| &self.runs[run]);
+        runs.filter(|run| is_on_trial(run, now)).count()
+    }
+
+    /// Releases a run that is known to be over, although its end was not reported.
+    pub(super) fn lose(&mut self, key: run::Key, loss: Loss, now: Time) {
+        if let Some(run) = self.release(key)
+            && run.stage != Stage::Planned
+        {
+            self.note_run(Kind::Lost, loss.as_str(), &run, now);
+            self.count_crash(&run, loss, now);
+            self.break_gang(&run, now);
+        }
+    }
+
+    /// Counts a lost run that may have crashed its runner, and ends the job of a task that does so again and again. Each
+    /// further start would end what runs on another runner.
+    fn count_crash(&mut self, run: &Run, loss: Loss, now: Time) {
+        let Some(runner) = self.runners.get(run.runner) else {
+            return;
+        };
+        let suspected = may_have_crashed(run, runner, loss);
+        let cleared = has_outlived_trial(run, runner);
+        let task = run.task;
+        let Some(active) = self.jobs.get_mut(task.job_key) else {
+            return;
+        };
+        let Some(state) = active.task_mut(task.occurrence, task.step, task.index) else {
+            return;
+        };
+        if cleared {
+            state.crashes = 0;
+        }
+        if !suspected {
+            return;
+        }
+        state.crashes = state.crashes.saturating_add(1);
+        let give_up = state.crashes >= CRASH_LIMIT && active.outcome.is_none();
+        self.note_run(Kind::CrashSuspected, loss.as_str(), run, now);
+        if give_up {
+            self.finish_job(task.job_key, Outcome::Failed, "crashes", now);
+        }
+    }
+}
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod evict;
 mod gang;
 mod host;
+mod loss;
 mod pace;
 mod place;
 mod poll;
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -25,6 +25,8 @@
 /// Cost of running a task on a runner; smaller is better. The fields are compared in their order.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Score {
+    /// Number of runs at risk because a task may crash the runner.
+    exposed: usize,
     /// Number of reasons why the task is slower there or slows down others.
     unsuited: u8,
     /// Number of tasks that failed there in a row.
@@ -129,15 +131,19 @@
                     self.count(key, task.step()) < usize::from(max_per_runner)
                 })
         };
-        self.choose(task.step(), avoid, now, room)
+        let state = self.jobs[task.job_key].task(task.occurrence, task.step, task.index);
+        let crashes = state.map_or(0, |state| state.crashes);
+        self.choose(task.step(), avoid, now, crashes, room)
     }
 
-    /// Returns the best runner for a task of the step among those for which `room` returns true.
+    /// Returns the best runner for a task of the step among those for which `room` returns true. `crashes` is the number of
+    /// runners that the task may have crashed.
     pub(super) fn choose(
         &self,
         step: StepKey,
         avoid: Option<runner::Key>,
         now: Time,
+        crashes: u8,
         room: impl Fn(runner::Key, &Runner) -> bool,
     ) -> Option<runner::Key> {
         let active = &self.jobs[step.job_key];
@@ -150,6 +156,7 @@
                     .as_ref()
                     .is_none_or(|label| runner.has_label(label))
                 && room(key, runner)
+                && self.may_share(runner, crashes, now)
                 && (!queue.advised || self.ticket(step, key, now).is_some())
         };
         let candidates = self.pools[queue.pool].runners.iter();
@@ -160,6 +167,7 @@
                 continue;
             }
             let mut score = self.score(step, spec, key, runner);
+            score.exposed = self.exposed(runner, crashes, now);
             if avoid == Some(key) {
                 score.failures += 1;
             }
@@ -183,6 +191,7 @@
             false => 0,
         };
         Score {
+            exposed: 0,
             unsuited: u8::from(other_rack) + u8::from(disturbs),
             failures: runner.failures,
             labels_scarce: runner.labels_scarce && !required.any(|label| runner.has_label(label)),
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -1,6 +1,9 @@
 //! Polling of runners, and handling of the states that they report.
 
-use super::Engine;
+use super::{
+    Engine,
+    loss::Loss, //
+};
 use crate::{
     job::{
         TaskKey,
@@ -126,7 +129,7 @@
                 self.schedule_next_poll(key, now);
             }
             Err(Failure::Fenced) => self.superseded = true,
-            Err(Failure::Replaced) => self.end_incarnation(key, "replaced", now),
+            Err(Failure::Replaced) => self.end_incarnation(key, Loss::Replaced, now),
             Err(failure) => self.mark_unreachable(key, failure, now),
         }
     }
@@ -207,7 +210,7 @@
         };
         let lost: Vec<run::Key> = runner.runs.iter().copied().filter(is_missing).collect();
         for run in lost {
-            self.lose(run, "not-listed", now);
+            self.lose(run, Loss::NotListed, now);
         }
     }
 
@@ -300,6 +303,7 @@
         runner.fenced = true;
         if runner.misses > 0 {
             runner.misses = 0;
+            runner.rack_failed = false;
             let id = runner.id.clone();
             self.note(Note::new(Kind::RunnerBack, "answered", now).with_place(&id));
         }
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -1,6 +1,9 @@
 //! Handling of the results of orders.
 
-use super::Engine;
+use super::{
+    Engine,
+    loss::Loss, //
+};
 use crate::{
     job::run::{
         self,
@@ -89,7 +92,7 @@
             Err(Failure::Fenced) => self.superseded = true,
             // The answer says nothing about the later incarnation, which may have another address.
             Err(Failure::Replaced) if run.moved => self.abandon(key, now),
-            Err(Failure::Replaced) => self.end_incarnation(runner_key, "replaced", now),
+            Err(Failure::Replaced) => self.end_incarnation(runner_key, Loss::Replaced, now),
             Err(Failure::Unknown) => {
                 let run = run.clone();
                 self.note_run(Kind::StartUnknown, "no-answer", &run, now);
@@ -142,7 +145,7 @@
                 self.poll_soon(runner_key, now);
             }
             Err(Failure::Fenced) => self.superseded = true,
-            Err(Failure::Replaced) => self.end_incarnation(runner_key, "replaced", now),
+            Err(Failure::Replaced) => self.end_incarnation(runner_key, Loss::Replaced, now),
             // The stop is ordered again, and a poll finds out whether the runner answers at all.
             Err(_) => self.poll_soon(runner_key, now),
         }
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -1,6 +1,9 @@
 //! Restoring of jobs of former leaders from the log.
 
-use super::Engine;
+use super::{
+    Engine,
+    loss::Loss, //
+};
 use crate::{
     job::{
         self, Occurrence, Run, State, TaskKey,
@@ -81,6 +84,7 @@
             return;
         };
         state.failures = kept.failures;
+        state.crashes = kept.crashes;
         state.attempt = kept.attempt;
         state.checkpoint = kept.checkpoint.clone();
         if kept.done {
@@ -107,6 +111,8 @@
             return;
         };
         let active = &mut self.jobs[task.job_key];
+        let state = active.task(task.occurrence, task.step, task.index);
+        let crashes = state.map_or(0, |state| state.crashes);
         let need = active.job.steps[usize::from(task.step)].reserved();
         let task_id = super::run::task_id(active.job.id, task);
         let run = self.runs.insert(Run {
@@ -118,6 +124,7 @@
             moved: false,
             need,
             stage: Stage::Inherited,
+            crashes,
             planned: now,
             adopted: None,
             started: None,
@@ -164,7 +171,7 @@
         };
         if !assignment.host.is_empty() && self.runners.values().any(later) {
             if let Some(key) = known {
-                self.end_incarnation(key, "host-reused", now);
+                self.end_incarnation(key, Loss::HostReused, now);
             }
             return None;
         }
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -51,6 +51,7 @@
         };
         state.attempt = attempt;
         state.state = State::Active;
+        let crashes = state.crashes;
         let key = self.runs.insert(Run {
             task,
             task_id,
@@ -60,6 +61,7 @@
             moved: false,
             need,
             stage: Stage::Planned,
+            crashes,
             planned: now,
             adopted: None,
             started: None,
@@ -242,16 +244,6 @@
             self.break_gang(&run, now);
         }
     }
-
-    /// Releases a run that is known to be over, although its end was not reported.
-    pub(super) fn lose(&mut self, key: run::Key, reason: &'static str, now: Time) {
-        if let Some(run) = self.release(key)
-            && run.stage != Stage::Planned
-        {
-            self.note_run(Kind::Lost, reason, &run, now);
-            self.break_gang(&run, now);
-        }
-    }
 }
 
 /// Returns the identity of a task in orders and in the log.
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -1,6 +1,9 @@
 //! Adding, updating and removing of runners.
 
-use super::Engine;
+use super::{
+    Engine,
+    loss::Loss, //
+};
 use crate::{
     job::run::{
         self,
@@ -88,7 +91,7 @@
         let key = self.runners.insert(runner);
         if let Some(&former) = self.runner_index.get(&id) {
             self.move_runs(former, key, now);
-            self.end_incarnation(former, "reborn", now);
+            self.end_incarnation(former, Loss::Reborn, now);
         }
         self.runner_index.insert(id, key);
         key
@@ -162,21 +165,23 @@
         let keys = self.runners.iter().filter(|(_, runner)| earlier(runner));
         let keys: Vec<runner::Key> = keys.map(|(key, _)| key).collect();
         for key in keys {
-            self.end_incarnation(key, "host-reused", now);
+            self.end_incarnation(key, Loss::HostReused, now);
         }
     }
 
     /// Ends an incarnation of a runner, and with it all its runs.
-    pub(super) fn end_incarnation(&mut self, key: runner::Key, reason: &'static str, now: Time) {
+    pub(super) fn end_incarnation(&mut self, key: runner::Key, loss: Loss, now: Time) {
         let Some(runner) = self.runners.get(key) else {
             return;
         };
         let id = runner.id.clone();
-        for run in runner.runs.clone() {
-            self.lose(run, reason, now);
+        let runs = runner.runs.clone();
+        self.mark_rack_failure(key);
+        for run in runs {
+            self.lose(run, loss, now);
         }
         self.remove_runner(key);
-        self.note(Note::new(Kind::RunnerGone, reason, now).with_place(&id));
+        self.note(Note::new(Kind::RunnerGone, loss.as_str(), now).with_place(&id));
     }
 
     /// Removes a runner that is not listed and has no runs.
@@ -215,8 +220,9 @@
         let keys = self.runners.iter().filter(|(_, runner)| silent(runner));
         let keys: Vec<runner::Key> = keys.map(|(key, _)| key).collect();
         for key in keys {
+            self.mark_rack_failure(key);
             for run in self.runners[key].runs.clone() {
-                self.lose(run, "lease-ended", now);
+                self.lose(run, Loss::LeaseEnded, now);
             }
         }
         let keys: Vec<runner::Key> = self.runners.keys().collect();
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -147,6 +147,7 @@
                     },
                     done: task.state == crate::job::State::Done,
                     failures: task.failures,
+                    crashes: task.crashes,
                     attempt: task.attempt,
                     assignments: self.assignments(task),
                     checkpoint: task.checkpoint.clone(),
--- a/crates/schedule/src/job/run.rs
+++ b/crates/schedule/src/job/run.rs
@@ -48,6 +48,8 @@
     pub need: Resource,
     /// Stage of its life cycle.
     pub stage: Stage,
+    /// Number of runners that its task may have crashed before.
+    pub crashes: u8,
     /// When the run was planned.
     pub planned: Time,
     /// When its runner first reported it to this leader, if a former leader started it.
--- a/crates/schedule/src/job/task.rs
+++ b/crates/schedule/src/job/task.rs
@@ -25,6 +25,8 @@
     pub state: State,
     /// Number of attempts that failed.
     pub failures: u16,
+    /// Number of runners in a row that may have crashed because of the task.
+    pub crashes: u8,
     /// Number of the latest attempt.
     pub attempt: u32,
     /// Latest checkpoint.
--- a/crates/schedule/src/note/note.rs
+++ b/crates/schedule/src/note/note.rs
@@ -42,6 +42,8 @@
     Ended = "run-ended";
     /// A run is known to be over, although its end was not reported.
     Lost = "run-lost";
+    /// A run was lost that may have crashed its runner.
+    CrashSuspected = "crash-suspected";
     /// A run that a former leader started is alive.
     Adopted = "run-adopted";
     /// A runner reports a run that the engine does not know; it is stopped.
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -64,6 +64,8 @@
     pub last_poll: Time,
     /// Number of requests in a row without an answer.
     pub misses: u32,
+    /// Whether all runners of its rack have stopped answering at about the same time.
+    pub rack_failed: bool,
     /// Highest number of an end that was handled.
     pub last_end: u64,
     /// All ends up to this number are in the log.
@@ -142,6 +144,7 @@
             poll_at: now,
             last_poll: Time::MIN,
             misses: 0,
+            rack_failed: false,
             last_end: 0,
             durable_end: 0,
             acknowledged: 0,
--- /dev/null
+++ b/crates/schedule/tests/engine/crash.rs
@@ -0,0 +1,177 @@
+//! Tasks that crash the runners that start them.
+
+use crate::harness::{
+    Harness,
+    long_running,
+    step, //
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::prelude::*;
+use std::collections::BTreeMap;
+
+/// Job of the task that crashes its runners.
+const DEADLY_JOB: u64 = 7;
+/// Time between two looks at the runners; a crash follows a start within this time.
+const INTERVAL_MS: u64 = 20;
+/// Time after which a runner that crashed is back.
+const RESTART_TIME: Duration = Duration::from_secs(4);
+
+/// Crashes of runners during a test.
+#[derive(Default)]
+struct Crashes {
+    /// Number of runners that crashed.
+    count: usize,
+    /// Number of other runs that ended with them.
+    victims: usize,
+    /// When each runner that is down is back.
+    back: BTreeMap<String, Duration>,
+}
+
+impl Crashes {
+    /// Runs the engine for the given time. A runner that runs the first task of the deadly job crashes.
+    fn run_ms(&mut self, harness: &mut Harness, millis: u64) {
+        let deadly = format!("{DEADLY_JOB:016x}.0.0.0");
+        for _ in 0..millis / INTERVAL_MS {
+            harness.run_ms(INTERVAL_MS);
+            let ids: Vec<String> = harness.runners.keys().cloned().collect();
+            for id in ids {
+                let running = harness.running(&id);
+                let hit = running.iter().any(|run| run.starts_with(&deadly));
+                if hit && !self.back.contains_key(&id) {
+                    self.count += 1;
+                    self.victims += running.len() - 1;
+                    self.back.insert(id.clone(), harness.now + RESTART_TIME);
+                    harness.unreachable.insert(id);
+                }
+            }
+            self.restart(harness);
+        }
+    }
+
+    fn restart(&mut self, harness: &mut Harness) {
+        let now = harness.now;
+        let due: Vec<String> = self
+            .back
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.back.remove(&id);
+            harness.unreachable.remove(&id);
+            harness.restart_runner(&id);
+        }
+    }
+}
+
+fn outcome(harness: &Harness, job: u64) -> Option<Ending> {
+    harness.stored_progress[&Id(job)].outcome
+}
+
+/// Guards against a task that crashes one runner after the other, each time with the other tasks there.
+#[test]
+fn task_that_crashes_its_runners_is_given_up() {
+    let mut harness = Harness::new(6, 1);
+    harness.submit(DEADLY_JOB, vec![step(2)]);
+    let mut crashes = Crashes::default();
+    crashes.run_ms(&mut harness, 30_000);
+    assert_eq!(crashes.count, 3, "{}", harness.timeline());
+    assert_eq!(outcome(&harness, DEADLY_JOB), Some(Ending::Failed));
+}
+
+/// Guards against a count of crashes that begins anew with each leader.
+#[test]
+fn crashes_of_a_task_are_known_to_the_next_leader() {
+    let mut harness = Harness::new(6, 1);
+    harness.submit(DEADLY_JOB, vec![step(1)]);
+    let mut crashes = Crashes::default();
+    crashes.run_ms(&mut harness, 5_000);
+    harness.take_over();
+    crashes.run_ms(&mut harness, 25_000);
+    // The run that is lost with the leader does not count, since nobody knows when it started.
+    assert!(crashes.count <= 4, "{}", harness.timeline());
+    assert_eq!(outcome(&harness, DEADLY_JOB), Some(Ending::Failed));
+}
+
+/// Guards against jobs that are given up because they shared runners with a task that crashes them.
+#[test]
+fn tasks_beside_one_that_crashes_its_runners_are_done() {
+    let mut harness = Harness::new(8, 1);
+    harness.task_duration = |_| Some(Duration::from_millis(600));
+    harness.submit(DEADLY_JOB, vec![step(2)]);
+    let others = 100..120;
+    for job in others.clone() {
+        harness.submit(job, vec![step(1)]);
+    }
+    let mut crashes = Crashes::default();
+    crashes.run_ms(&mut harness, 30_000);
+    let done = others.filter(|&job| outcome(&harness, job) == Some(Ending::Done));
+    assert_eq!(done.count(), 20, "{}", harness.timeline());
+    // Only the first crash comes as a surprise.
+    assert!(crashes.victims <= 3, "{} victims", crashes.victims);
+}
+
+/// Guards against tasks that have to start apart from each other, and are given up in the end, because their whole rack
+/// has failed.
+#[test]
+fn tasks_of_a_failed_rack_are_not_suspected() {
+    let mut harness = Harness::new(6, 2);
+    harness.task_duration = |_| None;
+    harness.submit(1, vec![step(8)]);
+    harness.run_ms(200);
+    let rack = ["r0", "r1"].map(str::to_owned);
+    let lost: usize = rack.iter().map(|id| harness.running(id).len()).sum();
+    harness.unreachable.extend(rack);
+    // The leases have ended by then.
+    harness.run_ms(5_000);
+    let tasks = &harness.stored_progress[&Id(1)].tasks;
+    let suspected = tasks.iter().filter(|task| task.crashes > 0).count();
+    assert_eq!((lost, suspected), (8, 0), "{}", harness.timeline());
+}
+
+/// Guards against a long-running task that is given up because its runners crashed long after they had started it.
+#[test]
+fn long_running_task_survives_crashes_that_it_does_not_cause() {
+    let mut harness = Harness::new(6, 1);
+    harness.task_duration = |_| None;
+    harness.submit(1, vec![long_running(1, 1)]);
+    for _ in 0..5 {
+        harness.run_ms(3_000);
+        let ids: Vec<String> = harness.runners.keys().cloned().collect();
+        let place = ids.into_iter().find(|id| !harness.running(id).is_empty());
+        let place = place.expect("the task runs");
+        harness.unreachable.insert(place.clone());
+        harness.run_ms(4_000);
+        harness.unreachable.remove(&place);
+        harness.restart_runner(&place);
+    }
+    harness.run_ms(3_000);
+    assert_eq!(outcome(&harness, 1), None, "{}", harness.timeline());
+    assert_eq!(harness.running_count(), 1, "{}", harness.timeline());
+}
+
+/// Guards against starts on a runner whose capacity has shrunk while it runs.
+#[test]
+fn runner_whose_capacity_has_shrunk_gets_no_more_than_fits() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| Some(Duration::from_millis(500));
+    harness.submit(1, vec![step(2)]);
+    harness.run_ms(100);
+    for (cpu, job) in [(1_000, 2), (4_000, 3)] {
+        let runner = harness.runners.get_mut("r0").expect("the runner exists");
+        runner.listed.capacity.cpu = cpu;
+        harness.list_runners();
+        harness.submit(job, vec![step(3)]);
+        harness.run_ms(200);
+        let running = harness.running_count();
+        harness.add_line(&format!(
+            "{running} tasks run with {cpu} thousandths of a core"
+        ));
+        harness.run_ms(600);
+        let running = harness.running_count();
+        harness.add_line(&format!("later {running} tasks run"));
+    }
+    let timeline = harness.timeline().lines();
+    let counts: Vec<&str> = timeline.filter(|line| line.contains("tasks run")).collect();
+    insta::assert_snapshot!(counts.join("\n"));
+}
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod cancel;
+mod crash;
 mod evict;
 mod fail;
 mod harness;
