--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -18,12 +18,13 @@
     Limited, //
 };
 use hyper::{
-    Request, StatusCode,
+    Request,
+    StatusCode,
     body::{
         Frame,
         Incoming, //
     },
-    client::conn::http1,
+    client::conn::http1, //
 };
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -157,35 +158,7 @@
         request: Message,
         limits: Limits,
     ) -> Result<Response, AttemptError> {
-        let received = AtomicUsize::new(0);
-        let expired = |after| {
-            let received = received.load(Ordering::Relaxed);
-            let sent = true;
-            AttemptError::Failed(Failure::Timeout {
-                sent,
-                after,
-                received,
-            })
-        };
-        let limit = limits.max_response_bytes;
-        let head = send(&mut transport.sender, request);
-        let response = match limits.transfer {
-            None => {
-                let whole = async { collect(head.await?, limit, &received).await };
-                let whole = timeout(limits.response_timeout, whole).await;
-                whole.map_err(|_| expired(limits.response_timeout))??
-            }
-            Some(transfer) => {
-                let head = timeout(limits.response_timeout, head).await;
-                let head = head.map_err(|_| expired(limits.response_timeout))??;
-                let body = collect(head, limit, &received);
-                tokio::select! {
-                    biased;
-                    response = body => response?,
-                    after = give_up(transfer, &received) => return Err(expired(after)),
-                }
-            }
-        };
+        let response = exchange(&mut transport.sender, request, limits).await?;
         self.transport = Some(transport);
         Ok(response)
     }
@@ -215,6 +188,36 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT))
 }
 
+/// Sends a request and reads the whole response within the limits.
+async fn exchange(
+    sender: &mut http1::SendRequest<Full<Bytes>>,
+    request: Message,
+    limits: Limits,
+) -> Result<Response, AttemptError> {
+    let received = AtomicUsize::new(0);
+    let expired = |after| {
+        AttemptError::Failed(Failure::Timeout {
+            sent: true,
+            after,
+            received: received.load(Ordering::Relaxed),
+        })
+    };
+    let time_limit = limits.response_timeout;
+    let head = send(sender, request);
+    let Some(transfer) = limits.transfer else {
+        let whole = async { collect(head.await?, limits.max_response_bytes, &received).await };
+        let whole = timeout(time_limit, whole).await;
+        return whole.map_err(|_| expired(time_limit))?;
+    };
+    let head = timeout(time_limit, head).await;
+    let head = head.map_err(|_| expired(time_limit))??;
+    tokio::select! {
+        biased;
+        response = collect(head, limits.max_response_bytes, &received) => response,
+        after = give_up(transfer, &received) => Err(expired(after)),
+    }
+}
+
 /// Sends a request and reads the head of the response.
 async fn send(
     sender: &mut http1::SendRequest<Full<Bytes>>,
--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -204,12 +204,7 @@
                     .with("failures", Value::Count(failures.into()))
                     .with("took", Value::Duration(took))
                     .with("detail", Value::Text(reason.into()));
-                // Powers of two keep the number of lines small in a long outage.
-                let event = match failures.is_power_of_two() {
-                    true => event,
-                    false => event.metrics_only(),
-                };
-                self.out.events.push(event);
+                self.out.events.push(log_by_count(event, failures));
                 self.handle_read_failure(topic, now);
             }
             store::Event::Accepted { token, stored } => self.handle_accepted(token, stored, now),
@@ -466,3 +461,12 @@
         }
     }
 }
+
+/// Leaves the log line of an event out unless its count in a row is a power of two, which keeps the number of lines small
+/// in a long outage.
+fn log_by_count(event: Event, count: u32) -> Event {
+    match count.is_power_of_two() {
+        true => event,
+        false => event.metrics_only(),
+    }
+}
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -166,8 +166,7 @@
             if !suits(key, runner) {
                 continue;
             }
-            let mut score = self.score(step, spec, key, runner);
-            score.exposed = self.exposed(runner, crashes, now);
+            let mut score = self.score(step, spec, key, crashes, now);
             if avoid == Some(key) {
                 score.failures += 1;
             }
@@ -178,7 +177,8 @@
         best.map(|(_, key)| key)
     }
 
-    fn score(&self, step: StepKey, spec: &Step, key: runner::Key, runner: &Runner) -> Score {
+    fn score(&self, step: StepKey, spec: &Step, key: runner::Key, crashes: u8, now: Time) -> Score {
+        let runner = &self.runners[key];
         let other_rack = spec
             .data_rack
             .as_ref()
@@ -191,7 +191,7 @@
             false => 0,
         };
         Score {
-            exposed: 0,
+            exposed: self.exposed(runner, crashes, now),
             unsuited: u8::from(other_rack) + u8::from(disturbs),
             failures: runner.failures,
             labels_scarce: runner.labels_scarce && !required.any(|label| runner.has_label(label)),
