fix(schedule): give up no job for crashes that other tasks cause

Two ways are closed. A task that was not suspected yet could start beside the last trial of another one and crash the runner; the last trial now excludes all other starts. And a run that had long outlived its trial was suspected, since only polls showed that the runner was alive, and a poll may be held open for 0.9 s; answers to starts count now, too.

The test task_beside_new_ones_that_crash_its_runners_is_not_given_up failed before.

Runners count their suspected runs, so that placement looks at the runs of a runner only if there are any.

--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -79,21 +79,42 @@
 /// Tells whether the runner has answered so long after the start of a run that the run has not crashed it.
 fn has_outlived_trial(run: &Run, runner: &Runner) -> bool {
     let started = run.started;
-    started.is_some_and(|started| runner.last_poll.since(started) >= CRASH_WINDOW)
+    started.is_some_and(|started| runner.alive_at.since(started) >= CRASH_WINDOW)
 }
 
-/// Tells whether a run may still crash its runner.
-fn is_on_trial(run: &Run, now: Time) -> bool {
+/// Tells whether a run has started so recently that it may still crash its runner.
+fn is_recent(run: &Run, now: Time) -> bool {
     let since = run.started.or(run.adopted);
-    run.crashes > 0 && since.is_none_or(|since| now.since(since) < CRASH_WINDOW)
+    since.is_none_or(|since| now.since(since) < CRASH_WINDOW)
+}
+
+/// Tells whether a run of a task that may have crashed other runners may still crash its own.
+fn is_on_trial(run: &Run, now: Time) -> bool {
+    run.crashes > 0 && is_recent(run, now)
+}
+
+/// Tells whether one more crash ends the job of a task that may have crashed `crashes` runners.
+fn is_last_trial(crashes: u8) -> bool {
+    crashes.saturating_add(1) >= CRASH_LIMIT
 }
 
 impl Engine {
-    /// Tells whether a task that may have crashed `crashes` runners may start beside the runs on a runner. Two such tasks do
-    /// not start there within the [`CRASH_WINDOW`], so that only one is suspected if the runner crashes again.
+    /// Tells whether a task that may have crashed `crashes` runners may start beside the runs on a runner.
+    ///
+    /// Two such tasks do not start there within the [`CRASH_WINDOW`], so that only one is suspected if the runner crashes
+    /// again. In its last trial, a task starts apart from all others: another one that has not been suspected yet could be
+    /// the cause.
     pub(super) fn may_share(&self, runner: &Runner, crashes: u8, now: Time) -> bool {
+        if crashes == 0 && runner.suspects == 0 {
+            return true;
+        }
         let mut runs = runner.runs.iter().map(|&run| &self.runs[run]);
-        crashes == 0 || !runs.any(|run| is_on_trial(run, now))
+        runs.all(|run| {
+            let on_trial = is_on_trial(run, now);
+            let excludes = on_trial && (crashes > 0 || is_last_trial(run.crashes));
+            let excluded = is_last_trial(crashes) && is_recent(run, now);
+            !excludes && !excluded
+        })
     }
 
     /// Marks the runners of a rack that failed as a whole, so that no task is suspected of it.
@@ -101,14 +122,14 @@
         let Some(runner) = self.runners.get(key) else {
             return;
         };
-        let (rack, last_poll) = (runner.rack.clone(), runner.last_poll);
+        let (rack, alive_at) = (runner.rack.clone(), runner.alive_at);
         let others = self
             .runners
             .iter()
             .filter(|(other, runner)| *other != key && runner.rack == rack && !rack.is_empty());
         let others: Vec<(runner::Key, &Runner)> = others.collect();
         let failed = |runner: &Runner| {
-            let spread = runner.last_poll.since(last_poll) + last_poll.since(runner.last_poll);
+            let spread = runner.alive_at.since(alive_at) + alive_at.since(runner.alive_at);
             runner.misses > 0 && spread < RACK_FAILURE_SPREAD
         };
         if others.is_empty() || !others.iter().all(|(_, runner)| failed(runner)) {
@@ -126,6 +147,9 @@
         if crashes > 0 {
             return runner.runs.len();
         }
+        if runner.suspects == 0 {
+            return 0;
+        }
         let runs = runner.runs.iter().map(|&run| &self.runs[run]);
         runs.filter(|run| is_on_trial(run, now)).count()
     }
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -125,6 +125,7 @@
                 let runner = &mut self.runners[key];
                 runner.acknowledged = runner.acknowledged.max(acknowledged);
                 runner.last_poll = answer.sent;
+                runner.alive_at = runner.alive_at.max(answer.sent);
                 self.handle_view(key, view, answer.clock, answer.sent, now);
                 self.schedule_next_poll(key, now);
             }
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -84,6 +84,9 @@
                     run.answered_at = Some(now);
                 }
                 let run = run.clone();
+                if let Some(runner) = self.runners.get_mut(runner_key) {
+                    runner.alive_at = runner.alive_at.max(answer.sent);
+                }
                 self.mark_begun(task.job_key, runner_key, "start-answered", now);
                 self.note_run(Kind::Started, "answered", &run, now);
                 self.read_clock(runner_key, clock, now);
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -84,8 +84,10 @@
 
     /// Adds a run to its runner and takes its resources.
     pub(super) fn occupy(&mut self, run: run::Key, runner: runner::Key, need: Resource, now: Time) {
+        let suspected = self.runs[run].crashes > 0;
         let runner = &mut self.runners[runner];
         runner.used += need;
+        runner.suspects += usize::from(suspected);
         runner.runs.push(run);
         runner.last_busy = now;
     }
@@ -221,6 +223,7 @@
         let run = self.runs.remove(key)?;
         if let Some(runner) = self.runners.get_mut(run.runner) {
             runner.used -= run.need;
+            runner.suspects -= usize::from(run.crashes > 0);
             runner.runs.retain(|&other| other != key);
         }
         let TaskKey {
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -145,8 +145,10 @@
                 run.stop_ordered_at = None;
             }
             let (need, job_key) = (run.need, run.task.job_key);
+            let suspected = run.crashes > 0;
             let former = &mut self.runners[from];
             former.used -= need;
+            former.suspects -= usize::from(suspected);
             former.runs.retain(|&other| other != key);
             self.occupy(key, to, need, now);
             self.mark_dirty(job_key);
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -42,6 +42,8 @@
     pub used: Resource,
     /// Runs that have not ended.
     pub runs: Vec<run::Key>,
+    /// Number of these runs whose tasks may have crashed other runners.
+    pub suspects: usize,
     /// Whether the service list has the runner.
     pub listed: bool,
     /// Earliest time at which the runner leaves; `None` unless it drains.
@@ -62,6 +64,8 @@
     pub poll_at: Time,
     /// When the last answered poll was sent.
     pub last_poll: Time,
+    /// When the last request was sent that the runner has carried out.
+    pub alive_at: Time,
     /// Number of requests in a row without an answer.
     pub misses: u32,
     /// Whether all runners of its rack have stopped answering at about the same time.
@@ -133,6 +137,7 @@
             capacity: Resource::default(),
             used: Resource::default(),
             runs: Vec::new(),
+            suspects: 0,
             listed: false,
             leaves_at: None,
             labels_scarce: false,
@@ -143,6 +148,7 @@
             poll_sent: None,
             poll_at: now,
             last_poll: Time::MIN,
+            alive_at: Time::MIN,
             misses: 0,
             rack_failed: false,
             last_end: 0,
--- a/crates/schedule/tests/engine/crash.rs
+++ b/crates/schedule/tests/engine/crash.rs
@@ -11,6 +11,8 @@
 
 /// Job of the task that crashes its runners.
 const DEADLY_JOB: u64 = 7;
+/// Distance between the numbers of further such jobs.
+const CRASHING_STEP: u64 = 1_000;
 /// Time between two looks at the runners; a crash follows a start within this time.
 const INTERVAL_MS: u64 = 20;
 /// Time after which a runner that crashed is back.
@@ -30,13 +32,19 @@
 impl Crashes {
     /// Runs the engine for the given time. A runner that runs the first task of the deadly job crashes.
     fn run_ms(&mut self, harness: &mut Harness, millis: u64) {
-        let deadly = format!("{DEADLY_JOB:016x}.0.0.0");
+        let deadly = |run: &String| {
+            let (job, task) = run
+                .split_once('.')
+                .expect("a run names its job and its task");
+            let job = u64::from_str_radix(job, 16).expect("a job has a hexadecimal number");
+            job % CRASHING_STEP == DEADLY_JOB && task == "0.0.0"
+        };
         for _ in 0..millis / INTERVAL_MS {
             harness.run_ms(INTERVAL_MS);
             let ids: Vec<String> = harness.runners.keys().cloned().collect();
             for id in ids {
                 let running = harness.running(&id);
-                let hit = running.iter().any(|run| run.starts_with(&deadly));
+                let hit = running.iter().any(deadly);
                 if hit && !self.back.contains_key(&id) {
                     self.count += 1;
                     self.victims += running.len() - 1;
@@ -111,6 +119,22 @@
     assert!(crashes.victims <= 3, "{} victims", crashes.victims);
 }
 
+/// Guards against a job that is given up because tasks that crash their runners, and are not suspected yet, started beside
+/// its last trial.
+#[test]
+fn task_beside_new_ones_that_crash_its_runners_is_not_given_up() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| None;
+    harness.submit(1, vec![long_running(1, 1)]);
+    let mut crashes = Crashes::default();
+    // Another task that crashes the runner is submitted whenever the runner is back.
+    for round in 0..6 {
+        harness.submit(DEADLY_JOB + round * CRASHING_STEP, vec![step(1)]);
+        crashes.run_ms(&mut harness, 5_000);
+    }
+    assert_eq!(outcome(&harness, 1), None, "{}", harness.timeline());
+}
+
 /// Guards against tasks that have to start apart from each other, and are given up in the end, because their whole rack
 /// has failed.
 #[test]
