fix(schedule): repeat starts of long-running tasks that got no answer

Cause: a start without an answer was prevented by a stop, which the runner carried out although the task worked, without regard to the disruption budget of its step. Repeats of unanswered stops did not ask the budget either.

Change: the start is repeated with the same attempt, which a runner answers without effect if the run is there. A run in doubt is given up once all its starts have expired and a later poll does not list it. A repeated stop of a long-running task needs the budget again.

--- a/crates/schedule/src/engine/evict.rs
+++ b/crates/schedule/src/engine/evict.rs
@@ -3,7 +3,7 @@
 use super::Engine;
 use crate::{
     job::{
-        Run, State,
+        ActiveJob, Run, State,
         run::{
             self,
             Stage, //
@@ -54,6 +54,20 @@
             .is_some()
     }
 
+    /// Returns whether a stop that was not answered may be ordered again. The budget may have been used up since the first
+    /// order, which may not have arrived.
+    pub(super) fn may_repeat_stop(&self, run: &Run, now: Time) -> bool {
+        let ended = |active: &ActiveJob| active.outcome.is_some();
+        let draining = |runner: &Runner| runner.leaves_at.is_some();
+        let long_running = self
+            .step_spec(run.task)
+            .is_some_and(|spec| spec.long_running);
+        !long_running
+            || self.jobs.get(run.task.job_key).is_some_and(ended)
+            || self.runners.get(run.runner).is_some_and(draining)
+            || self.is_within_budget(run, now)
+    }
+
     /// Returns whether the disruption budget of the step allows a stop: fewer of its other tasks are down than may be
     /// missed.
     pub(super) fn is_within_budget(&self, run: &Run, now: Time) -> bool {
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod advice;
 mod balance;
+mod doubt;
 mod end;
 mod engine;
 mod evict;
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -213,6 +213,7 @@
         for run in lost {
             self.lose(run, Loss::NotListed, now);
         }
+        self.resolve_doubts(key, &listed, sent, now);
     }
 
     /// Returns the run that a runner reports, if the engine knows it.
@@ -250,6 +251,7 @@
         let adopted = run.stage == Stage::Inherited;
         if matches!(run.stage, Stage::Inherited | Stage::Ordered) {
             run.stage = Stage::Running;
+            run.doubt = None;
             if adopted {
                 run.adopted = Some(now);
             } else {
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -68,6 +68,10 @@
     }
 
     fn handle_start(&mut self, key: run::Key, answer: Answer<()>, now: Time) {
+        let repeats = self
+            .runs
+            .get(key)
+            .is_some_and(|run| self.repeats_start(run));
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -79,6 +83,7 @@
         match answer.result {
             Ok(()) => {
                 run.started = Some(now);
+                run.doubt = None;
                 if !stopping {
                     run.stage = Stage::Running;
                     run.answered_at = Some(now);
@@ -96,6 +101,17 @@
             // The answer says nothing about the later incarnation, which may have another address.
             Err(Failure::Replaced) if run.moved => self.abandon(key, now),
             Err(Failure::Replaced) => self.end_incarnation(runner_key, Loss::Replaced, now),
+            Err(Failure::StaleAttempt) if run.doubt.is_some() => {
+                // The run has ended; its end is in the answer to a poll.
+                self.poll_soon(runner_key, now);
+                self.abandon(key, now);
+            }
+            // What an earlier copy of the start has done is still unknown.
+            Err(failure) if run.doubt.is_some() => self.doubt_start(key, failure, now),
+            Err(Failure::Unknown) if repeats => {
+                self.doubt_start(key, Failure::Unknown, now);
+                self.mark_unreachable(runner_key, Failure::Unknown, now);
+            }
             Err(Failure::Unknown) => {
                 let run = run.clone();
                 self.note_run(Kind::StartUnknown, "no-answer", &run, now);
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -128,6 +128,8 @@
             planned: now,
             adopted: None,
             started: None,
+            doubt: None,
+            start_expires: Time::MIN,
             answered_at: None,
             stop_ordered_at: None,
             ticket: None,
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -65,6 +65,8 @@
             planned: now,
             adopted: None,
             started: None,
+            doubt: None,
+            start_expires: Time::MIN,
             answered_at: None,
             stop_ordered_at: None,
             ticket,
@@ -94,14 +96,21 @@
 
     /// Orders the start of a planned run.
     pub(super) fn order_start(&mut self, key: run::Key, now: Time) {
-        let Some(run) = self.runs.get(key) else {
-            return;
-        };
-        if run.stage != Stage::Planned {
+        let is_planned = |run: &&Run| run.stage == Stage::Planned;
+        if self.runs.get(key).filter(is_planned).is_none() {
             return;
         }
+        match self.send_start(key, now) {
+            true => self.runs[key].stage = Stage::Ordered,
+            false => self.abandon(key, now),
+        }
+    }
+
+    /// Sends the order to start a run, and returns whether its runner can be addressed.
+    pub(super) fn send_start(&mut self, key: run::Key, now: Time) -> bool {
+        let run = &self.runs[key];
         let Some(active) = self.jobs.get(run.task.job_key) else {
-            return;
+            return false;
         };
         let specification = Arc::clone(&active.job.specification);
         let task = active.task(run.task.occurrence, run.task.step, run.task.index);
@@ -110,7 +119,7 @@
         let runner_key = run.runner;
         let rules = self.rules;
         let Some(runner) = self.runners.get_mut(runner_key) else {
-            return;
+            return false;
         };
         // A runner whose lease was just renewed keeps it. Another one gets a short lease until its first poll.
         let renewed = runner.runs_until > now + rules.first_lease;
@@ -119,13 +128,12 @@
             false => rules.first_lease,
         };
         let until = runner.renew_lease(span, &rules, now);
+        let expires = until.and_then(|until| runner.latest_expiry(until, &rules));
         let (Some(until), Some(target)) = (until, self.target(runner_key)) else {
-            self.abandon(key, now);
-            return;
+            return false;
         };
-        if let Some(run) = self.runs.get_mut(key) {
-            run.stage = Stage::Ordered;
-        }
+        let run = &mut self.runs[key];
+        run.start_expires = run.start_expires.max(expires.unwrap_or(Time::MIN));
         self.orders.push(Order::Start(Start {
             target,
             run: key,
@@ -136,6 +144,7 @@
             checkpoint,
             ticket,
         }));
+        true
     }
 
     /// Records that a runner has started a task of a job. `evidence` names what the runner has shown.
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -139,6 +139,8 @@
             let run = &mut self.runs[key];
             run.runner = to;
             run.moved = true;
+            // The clock of the later incarnation starts anew.
+            run.start_expires = run.start_expires.max(until);
             if run.stage == Stage::Stopping {
                 // The later incarnation may not know of the stop.
                 run.answered_at = None;
--- a/crates/schedule/src/engine/tick.rs
+++ b/crates/schedule/src/engine/tick.rs
@@ -19,6 +19,7 @@
         if may_order {
             self.start_stored(now);
             self.order_stored(now);
+            self.repeat_starts(now);
             self.repeat_stops(now);
             self.evict(now);
             self.pace(now);
@@ -48,6 +49,7 @@
             run.stage == Stage::Stopping
                 && run.answered_at.is_none()
                 && run.stop_ordered_at.is_none_or(|at| now >= at + pause)
+                && self.may_repeat_stop(run, now)
         };
         let keys = self.runs.iter().filter(|(_, run)| due(run));
         let keys: Vec<run::Key> = keys.map(|(key, _)| key).collect();
--- a/crates/schedule/src/job/run.rs
+++ b/crates/schedule/src/job/run.rs
@@ -56,6 +56,10 @@
     pub adopted: Option<Time>,
     /// When the start was confirmed; `None` for a run of a former leader.
     pub started: Option<Time>,
+    /// What is known of starts without an answer; `None` if each start was answered or is still on its way.
+    pub doubt: Option<Doubt>,
+    /// When the latest start expires: a runner that gets it later refuses it.
+    pub start_expires: Time,
     /// When the latest order for the run was answered. The answer to a poll that was sent later has the run if it is
     /// alive.
     pub answered_at: Option<Time>,
@@ -75,6 +79,13 @@
     pub pace_ordered_at: Time,
 }
 
+/// Doubt about a start that was not answered: it may have been carried out, or may be until it expires.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Doubt {
+    /// When the start is repeated if the runner answers again; `None` while a repeat is on its way.
+    pub repeat_at: Option<Time>,
+}
+
 /// History of the progress of a run. Times are milliseconds of the runner's clock, so that the delay of answers does
 /// not count.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -185,11 +185,15 @@
     /// Returns the end of a lease of `span` in milliseconds of the runner's clock, or `None` if that clock is unknown,
     /// and updates [`runs_until`](Self::runs_until).
     pub fn renew_lease(&mut self, span: Duration, rules: &Rules, now: Time) -> Option<u64> {
-        let clock = self.clock?;
-        let until = clock.estimate_ms(now) + span.as_millis() as u64;
-        self.runs_until = self
-            .runs_until
-            .max(clock.latest_expiry(until, rules.drift_permille) + rules.margin);
+        let until = self.clock?.estimate_ms(now) + span.as_millis() as u64;
+        self.runs_until = self.runs_until.max(self.latest_expiry(until, rules)?);
         Some(until)
     }
+
+    /// Returns the latest time at which `until` milliseconds of the runner's clock are reached, with a margin, or `None`
+    /// if that clock is unknown.
+    pub fn latest_expiry(&self, until: u64, rules: &Rules) -> Option<Time> {
+        let clock = self.clock?;
+        Some(clock.latest_expiry(until, rules.drift_permille) + rules.margin)
+    }
 }
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod cancel;
 mod crash;
+mod doubt;
 mod evict;
 mod fail;
 mod harness;
