fix(schedule): count crashes of runners across changes of the lead

Cause: a task that crashes its runners was counted only if the leader that started the run also saw its loss. The loss of an inherited run, of a run that moved to a later incarnation of its runner, and of one whose host has a runner of another name was not counted, so a task could crash runner after runner while the lead changed.

Change: an inherited run counts if its runner has ended and did not answer long enough after the run was adopted; a run that a later incarnation does not list counts by what the earlier one showed; an assignment whose host has a later runner counts when the job is restored. A task that outlives its trial is cleared in the log, so that later leaders know it.

A long-running task whose runners crash during six changes of the lead goes on.

--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -3,7 +3,7 @@
 use super::Engine;
 use crate::{
     job::{
-        Run,
+        self, Run, TaskKey,
         run::{
             self,
             Stage, //
@@ -63,29 +63,39 @@
     if runner.leaves_at.is_some() || runner.rack_failed {
         return false;
     }
+    // A later incarnation that lacks a run of an earlier one shows that the earlier one has ended.
     let ended = match loss {
+        Loss::NotListed if run.moved => true,
         Loss::NotListed | Loss::HostOrdered => return false,
         Loss::LeaseEnded => false,
         Loss::HostReused | Loss::Reborn | Loss::Replaced => true,
     };
-    match run.started {
+    match begun_at(run) {
         Some(_) => !has_outlived_trial(run, runner),
-        // A start without an answer counts if the runner has ended. One that is only silent may have been cut off before
-        // the order arrived.
-        None => ended && run.stage != Stage::Inherited,
+        // A start that was not answered, or whose answer an earlier leader got, counts if the runner has ended. A runner
+        // that is only silent may have been cut off before.
+        None => ended,
     }
 }
 
+/// Returns when the run was first known to be alive, if it was.
+fn begun_at(run: &Run) -> Option<Time> {
+    run.started.or(run.adopted)
+}
+
 /// Tells whether the runner has answered so long after the start of a run that the run has not crashed it.
 fn has_outlived_trial(run: &Run, runner: &Runner) -> bool {
-    let started = run.started;
-    started.is_some_and(|started| runner.alive_at.since(started) >= CRASH_WINDOW)
+    // Answers of a later incarnation say nothing about an earlier one.
+    let alive_at = match run.moved {
+        true => run.alive_at,
+        false => run.alive_at.max(runner.alive_at),
+    };
+    begun_at(run).is_some_and(|begun| alive_at.since(begun) >= CRASH_WINDOW)
 }
 
 /// Tells whether a run has started so recently that it may still crash its runner.
 fn is_recent(run: &Run, now: Time) -> bool {
-    let since = run.started.or(run.adopted);
-    since.is_none_or(|since| now.since(since) < CRASH_WINDOW)
+    begun_at(run).is_none_or(|begun| now.since(begun) < CRASH_WINDOW)
 }
 
 /// Tells whether a run of a task that may have crashed other runners may still crash its own.
@@ -187,10 +197,54 @@
             return;
         }
         state.crashes = state.crashes.saturating_add(1);
-        let give_up = state.crashes >= CRASH_LIMIT && active.outcome.is_none();
         self.note_run(Kind::CrashSuspected, loss.as_str(), run, now);
-        if give_up {
+        if self.has_crashed_too_often(task.job_key) {
             self.finish_job(task.job_key, Outcome::Failed, "crashes", now);
         }
     }
+
+    /// Counts a run of an earlier leader whose runner has ended before this leader could ask it. The earlier leader may
+    /// have seen that, but its count is not in the log.
+    pub(super) fn count_ended_assignment(&mut self, task: TaskKey) {
+        let active = self.jobs.get_mut(task.job_key);
+        let state =
+            active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
+        if let Some(state) = state {
+            state.crashes = state.crashes.saturating_add(1);
+            self.mark_dirty(task.job_key);
+        }
+    }
+
+    /// Tells whether a job that has not ended has a task that crashes its runners again and again.
+    pub(super) fn has_crashed_too_often(&self, key: job::Key) -> bool {
+        let crashes = |state: &job::Task| state.crashes >= CRASH_LIMIT;
+        let Some(active) = self.jobs.get(key) else {
+            return false;
+        };
+        let mut tasks = active.occurrences.iter().flat_map(|it| &it.tasks);
+        active.outcome.is_none() && tasks.any(crashes)
+    }
+
+    /// Clears the tasks of the runs on a runner that have not crashed it in time. The log has to know that, since a later
+    /// leader can't tell how long a run has gone on.
+    pub(super) fn clear_suspects(&mut self, key: runner::Key) {
+        let Some(runner) = self.runners.get(key).filter(|runner| runner.suspects > 0) else {
+            return;
+        };
+        let cleared = |run: &&run::Key| {
+            let run = &self.runs[**run];
+            run.crashes > 0 && run.stage == Stage::Running && has_outlived_trial(run, runner)
+        };
+        let runs = runner.runs.iter().filter(cleared);
+        let tasks: Vec<TaskKey> = runs.map(|&run| self.runs[run].task).collect();
+        for task in tasks {
+            let active = self.jobs.get_mut(task.job_key);
+            let state =
+                active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
+            if let Some(state) = state.filter(|state| state.crashes > 0) {
+                state.crashes = 0;
+                self.mark_dirty(task.job_key);
+            }
+        }
+    }
 }
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -214,6 +214,10 @@
             self.lose(run, Loss::NotListed, now);
         }
         self.resolve_doubts(key, &listed, sent, now);
+        self.clear_suspects(key);
+        if let Some(runner) = self.runners.get_mut(key) {
+            runner.rack_failed = false;
+        }
     }
 
     /// Returns the run that a runner reports, if the engine knows it.
@@ -243,6 +247,7 @@
     ) {
         let run = &mut self.runs[key];
         run.load = row.load;
+        run.alive_at = run.alive_at.max(sent);
         run.percent = row.percent;
         if let Some(clock) = clock {
             run.progress.record(clock, row.percent);
@@ -306,7 +311,6 @@
         runner.fenced = true;
         if runner.misses > 0 {
             runner.misses = 0;
-            runner.rack_failed = false;
             let id = runner.id.clone();
             self.note(Note::new(Kind::RunnerBack, "answered", now).with_place(&id));
         }
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -22,7 +22,8 @@
     Progress,
     progress::{
         self,
-        Assignment, //
+        Assignment,
+        Outcome, //
     },
     replica::Entry,
 };
@@ -47,6 +48,9 @@
         }
         match outcome {
             Some(outcome) => self.finish_job(key, outcome, "inherited", now),
+            None if self.has_crashed_too_often(key) => {
+                self.finish_job(key, Outcome::Failed, "crashes", now);
+            }
             None => self.open_due_occurrences(key, wall, now),
         }
     }
@@ -108,8 +112,10 @@
     /// Restores a run that may be alive, unless the incarnation of its runner is known to be over.
     fn restore_run(&mut self, task: TaskKey, assignment: &Assignment, now: Time) {
         let Some(runner) = self.find_runner(task, assignment, now) else {
+            self.count_ended_assignment(task);
             return;
         };
+        let moved = assignment.incarnation < self.runners[runner].incarnation;
         let active = &mut self.jobs[task.job_key];
         let state = active.task(task.occurrence, task.step, task.index);
         let crashes = state.map_or(0, |state| state.crashes);
@@ -121,7 +127,8 @@
             attempt: assignment.attempt,
             runner,
             listed: false,
-            moved: false,
+            moved,
+            alive_at: Time::MIN,
             need,
             stage: Stage::Inherited,
             crashes,
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -59,6 +59,7 @@
             runner,
             listed: false,
             moved: false,
+            alive_at: Time::MIN,
             need,
             stage: Stage::Planned,
             crashes,
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -90,6 +90,7 @@
         let id = runner.id.clone();
         let key = self.runners.insert(runner);
         if let Some(&former) = self.runner_index.get(&id) {
+            self.mark_rack_failure(former);
             self.move_runs(former, key, now);
             self.end_incarnation(former, Loss::Reborn, now);
         }
@@ -134,11 +135,15 @@
         };
         let former = &self.runners[from];
         let until = former.runs_until.max(self.rules.longest_lease_expiry(now));
+        let (alive_at, rack_failed) = (former.alive_at, former.rack_failed);
         let runs: Vec<run::Key> = former.runs.iter().copied().filter(may_run).collect();
         for key in runs {
             let run = &mut self.runs[key];
             run.runner = to;
-            run.moved = true;
+            if !run.moved {
+                run.moved = true;
+                run.alive_at = run.alive_at.max(alive_at);
+            }
             // The clock of the later incarnation starts anew.
             run.start_expires = run.start_expires.max(until);
             if run.stage == Stage::Stopping {
@@ -156,6 +161,7 @@
             self.mark_dirty(job_key);
             let later = &mut self.runners[to];
             later.runs_until = later.runs_until.max(until);
+            later.rack_failed = rack_failed;
         }
     }
 
--- a/crates/schedule/src/job/run.rs
+++ b/crates/schedule/src/job/run.rs
@@ -44,6 +44,8 @@
     pub listed: bool,
     /// Whether its start was ordered to an earlier incarnation of the runner.
     pub moved: bool,
+    /// When the run was last known to be alive.
+    pub alive_at: Time,
     /// Resources that it takes of the runner's capacity.
     pub need: Resource,
     /// Stage of its life cycle.
--- a/crates/schedule/tests/engine/crash.rs
+++ b/crates/schedule/tests/engine/crash.rs
@@ -73,7 +73,8 @@
 }
 
 fn outcome(harness: &Harness, job: u64) -> Option<Ending> {
-    harness.stored_progress[&Id(job)].outcome
+    let progress = harness.stored_progress.get(&Id(job));
+    progress.and_then(|progress| progress.outcome)
 }
 
 /// Guards against a task that crashes one runner after the other, each time with the other tasks there.
@@ -96,7 +97,7 @@
     crashes.run_ms(&mut harness, 5_000);
     harness.take_over();
     crashes.run_ms(&mut harness, 25_000);
-    // The run that is lost with the leader does not count, since nobody knows when it started.
+    // The run of the earlier leader counts once its runner has restarted.
     assert!(crashes.count <= 4, "{}", harness.timeline());
     assert_eq!(outcome(&harness, DEADLY_JOB), Some(Ending::Failed));
 }
@@ -199,3 +200,80 @@
     let counts: Vec<&str> = timeline.filter(|line| line.contains("tasks run")).collect();
     insta::assert_snapshot!(counts.join("\n"));
 }
+
+/// Times after a crash at which another leader takes over: none, before the loss of the runner is noticed, after it, and
+/// once the runner is back.
+const TAKEOVERS_MS: [Option<u64>; 5] = [None, Some(40), Some(1_500), Some(3_900), Some(4_400)];
+
+/// Guards against crashes that are never counted because the lead changes between any two of them.
+#[test]
+fn crashes_are_counted_whenever_the_lead_changes() {
+    let mut counts = BTreeMap::new();
+    let schedules = (0..125).map(|number| [number % 5, number / 5 % 5, number / 25]);
+    for schedule in schedules {
+        let mut harness = Harness::new(6, 1);
+        harness.submit(DEADLY_JOB, vec![step(1)]);
+        let mut crashes = Crashes::default();
+        for (crash, takeover) in schedule.into_iter().enumerate() {
+            while crashes.count <= crash && outcome(&harness, DEADLY_JOB).is_none() {
+                crashes.run_ms(&mut harness, INTERVAL_MS);
+            }
+            if let Some(delay) = TAKEOVERS_MS[takeover] {
+                crashes.run_ms(&mut harness, delay);
+                harness.take_over();
+            }
+        }
+        crashes.run_ms(&mut harness, 40_000);
+        assert_eq!(
+            outcome(&harness, DEADLY_JOB),
+            Some(Ending::Failed),
+            "{schedule:?} {}",
+            harness.timeline()
+        );
+        let takeovers = schedule.iter().filter(|&&takeover| takeover > 0).count();
+        *counts.entry((takeovers, crashes.count)).or_insert(0) += 1;
+    }
+    let row = |((takeovers, crashes), count): (&(usize, usize), &usize)| {
+        format!("{takeovers} takeovers, {crashes} crashes: {count} schedules")
+    };
+    let rows: Vec<String> = counts.iter().map(row).collect();
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
+/// Guards against a crash that only a leader has counted which could not store the count, because its successor finds a
+/// later runner on the host.
+#[test]
+fn crash_is_counted_although_the_host_has_a_later_runner() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| None;
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(100);
+    let mut list = harness.service_list();
+    list[0].id = "r0-later".into();
+    list[0].incarnation += 1;
+    harness.take_over_with(list);
+    harness.decide();
+    assert_eq!(harness.stored_progress[&Id(1)].tasks[0].crashes, 1);
+}
+
+/// Guards against a long-running task that is given up because its runners crash while the lead changes.
+#[test]
+fn long_running_task_survives_crashes_during_changes_of_the_lead() {
+    let mut harness = Harness::new(6, 1);
+    harness.task_duration = |_| None;
+    harness.submit(1, vec![long_running(1, 1)]);
+    for _ in 0..6 {
+        harness.run_ms(3_000);
+        let ids: Vec<String> = harness.runners.keys().cloned().collect();
+        let place = ids.into_iter().find(|id| !harness.running(id).is_empty());
+        let place = place.expect("the task runs");
+        harness.unreachable.insert(place.clone());
+        harness.take_over();
+        harness.run_ms(1_000);
+        harness.unreachable.remove(&place);
+        harness.restart_runner(&place);
+    }
+    harness.run_ms(3_000);
+    assert_eq!(outcome(&harness, 1), None, "{}", harness.timeline());
+    assert_eq!(harness.running_count(), 1, "{}", harness.timeline());
+}
