fix(control): start no task while the reads of the log are behind

Cause: a leader whose appends succeed keeps its lease although its reads of the log fail or lag. It went on to start waiting tasks of jobs whose cancels it had not read. The scheduler asked only for the lease.

Change: the engine is told what it may do. With reads older than 2 s, the limit for answers to callers, it renews leases, stops runs and orders hosts, but plans and orders no start.

--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -17,7 +17,10 @@
 };
 use sassafrascrank_schedule::{
     Engine, Order,
-    engine::Takeover,
+    engine::{
+        Permission,
+        Takeover, //
+    },
     order::Envelope,
     runner::{
         self,
@@ -232,13 +235,22 @@
         self.append_pending = false;
     }
 
+    /// Returns what this entry may do as the leader.
+    fn permission(&self, now: Time) -> Permission {
+        match self.election.may_order(now) && !self.stopping {
+            true if self.is_fresh(now) => Permission::Start,
+            true => Permission::Keep,
+            false => Permission::Observe,
+        }
+    }
+
     /// Lets the scheduler decide, and passes on its orders, notes and records.
     pub(super) fn run_engine(&mut self, wall: Time, now: Time) {
-        let may_order = self.election.may_order(now) && !self.stopping;
+        let permission = self.permission(now);
         let Some(engine) = &mut self.engine else {
             return;
         };
-        engine.tick(may_order, wall, now);
+        engine.tick(permission, wall, now);
         if engine.is_superseded() {
             self.lose_role("runner-fenced", now);
             return;
--- a/crates/control/tests/lead.rs
+++ b/crates/control/tests/lead.rs
@@ -75,6 +75,8 @@
     end: u64,
     /// Epoch of the last claim of the entry, 0 before the first one.
     epoch: u64,
+    /// Number of that claim.
+    claim: u64,
     /// Records that the entry has appended and not read yet.
     unread: Vec<Record>,
     /// Attempts at each runner.
@@ -83,6 +85,8 @@
     unreachable: Vec<&'static str>,
     /// Starts of tasks: time and runner.
     starts: Vec<(Time, String)>,
+    /// Whether reads of the log get no answer. Appends do.
+    reads_unanswered: bool,
 }
 
 impl Harness {
@@ -101,10 +105,12 @@
             now: START,
             end: 0,
             epoch: 0,
+            claim: 0,
             unread: Vec::new(),
             runs: BTreeMap::new(),
             unreachable: Vec::new(),
             starts: Vec::new(),
+            reads_unanswered: false,
         };
         let config = Config {
             version: 1,
@@ -175,11 +181,14 @@
             Request::SetReads {
                 runners: Some(claim),
                 ..
-            } => Event::Runners {
-                claim,
-                changes: RUNNERS.map(|id| Change::Set(listed(id, 1_000))).into(),
-                complete: true,
-            },
+            } => {
+                self.claim = claim;
+                Event::Runners {
+                    claim,
+                    changes: RUNNERS.map(|id| Change::Set(listed(id, 1_000))).into(),
+                    complete: true,
+                }
+            }
             _ => return,
         };
         self.control.handle_event(event, self.now);
@@ -264,7 +273,9 @@
         while !condition(self) {
             assert!(self.now < began + LIMIT, "the condition is not reached");
             self.now = self.now + TICK;
-            self.read(false);
+            if !self.reads_unanswered {
+                self.read(false);
+            }
             self.control.tick(self.now, self.now);
             self.carry_out();
         }
@@ -346,3 +357,30 @@
     }
     insta::assert_snapshot!(report);
 }
+
+/// Guards against a leader that starts tasks of jobs which were cancelled seconds before, because its reads of the log are
+/// far behind while its appends still succeed.
+#[test]
+fn leader_that_is_behind_the_log_starts_no_task() {
+    let mut harness = Harness::new();
+    harness.append([job(1), job(2), job(3)]);
+    harness.run_until(|harness| harness.starts.len() == 2);
+    harness.reads_unanswered = true;
+    let behind = harness.now + Duration::from_secs(3);
+    harness.run_until(|harness| harness.now >= behind);
+    // There is room for the third task now.
+    let larger = Event::Runners {
+        claim: harness.claim,
+        changes: vec![Change::Set(listed("r0", 2_000))],
+        complete: false,
+    };
+    harness.control.handle_event(larger, harness.now);
+    let later = harness.now + Duration::from_secs(5);
+    harness.run_until(|harness| harness.now >= later);
+    let mut report = format!("leads: {}\n", harness.leads());
+    writeln!(report, "starts while behind: {}", harness.starts.len() - 2).unwrap();
+    harness.reads_unanswered = false;
+    let wait = harness.run_until(|harness| harness.starts.len() > 2);
+    writeln!(report, "starts {wait} ms after reads succeed again").unwrap();
+    insta::assert_snapshot!(report);
+}
--- a/crates/schedule/examples/scale.rs
+++ b/crates/schedule/examples/scale.rs
@@ -11,7 +11,10 @@
         self,
         Config, //
     },
-    engine::Takeover,
+    engine::{
+        Permission,
+        Takeover, //
+    },
     fleet::host,
     order::report::{
         Answer,
@@ -172,7 +175,7 @@
             }
         }
         let began = Instant::now();
-        engine.tick(true, now, now);
+        engine.tick(Permission::Start, now, now);
         if engine.take_records().is_some() {
             engine.records_stored(now);
         }
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -25,3 +25,4 @@
     Engine,
     Takeover, //
 };
+pub use tick::Permission;
--- a/crates/schedule/src/engine/tick.rs
+++ b/crates/schedule/src/engine/tick.rs
@@ -10,14 +10,29 @@
 };
 use sassafrascrank_base::prelude::*;
 
+/// What a leader may do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Permission {
+    /// Nothing but to look: another leader may have taken over. Polls renew no leases.
+    Observe,
+    /// Renew leases, stop runs and order hosts, but start no task: jobs may have been cancelled since the log was read.
+    Keep,
+    /// Everything.
+    Start,
+}
+
 impl Engine {
-    /// Makes all decisions that are due, from all that was reported. `wall` is the time of day. Without `may_order`, it
-    /// starts, stops and moves nothing, and polls renew no leases.
-    pub fn tick(&mut self, may_order: bool, wall: Time, now: Time) {
+    /// Makes all decisions that are due, from all that was reported, as far as `permission` goes. `wall` is the time of
+    /// day.
+    pub fn tick(&mut self, permission: Permission, wall: Time, now: Time) {
+        let may_start = permission == Permission::Start;
+        let may_order = permission != Permission::Observe;
         self.open_repeated(wall, now);
         self.expire_leases(now);
         if may_order {
-            self.start_stored(now);
+            if may_start {
+                self.start_stored(now);
+            }
             self.order_stored(now);
             self.repeat_starts(now);
             self.repeat_stops(now);
@@ -26,7 +41,9 @@
             self.handle_stragglers(now);
             self.manage_hosts(now);
             self.update_tiers(now);
-            self.place(now);
+            if may_start {
+                self.place(now);
+            }
         }
         self.poll_runners(may_order, now);
     }
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -16,6 +16,7 @@
     config::Rules,
     engine::{
         Engine,
+        Permission,
         Takeover, //
     },
     fleet::host,
@@ -264,7 +265,7 @@
     /// Lets the engine decide, and stores its records. The leader is lost before it gives an order.
     pub(crate) fn decide_without_orders(&mut self) {
         let now = self.time();
-        self.engine.tick(true, now, now);
+        self.engine.tick(Permission::Start, now, now);
         for record in self.engine.take_records().unwrap_or_default() {
             self.append(record);
         }
@@ -347,7 +348,7 @@
             self.start_runner(&name);
         }
         let now = self.time();
-        self.engine.tick(true, now, now);
+        self.engine.tick(Permission::Start, now, now);
         if let Some(records) = self.engine.take_records() {
             for record in records {
                 self.append(record.clone());
@@ -356,7 +357,7 @@
                 }
             }
             self.engine.records_stored(now);
-            self.engine.tick(true, now, now);
+            self.engine.tick(Permission::Start, now, now);
         }
         for order in self.engine.take_orders() {
             self.execute(order);
--- a/crates/schedule/tests/engine/host.rs
+++ b/crates/schedule/tests/engine/host.rs
@@ -8,6 +8,7 @@
 use sassafrascrank_schedule::{
     Order,
     Rules,
+    engine::Permission,
     order::report::Report, //
 };
 use std::sync::Arc;
@@ -95,7 +96,7 @@
         .add_wave(1, names, Duration::from_secs(20), 1, None, harness.time());
     let orders = |harness: &mut Harness| {
         let now = harness.time();
-        harness.engine.tick(true, now, now);
+        harness.engine.tick(Permission::Start, now, now);
         let orders = harness.engine.take_orders().into_iter();
         let hosts = orders.filter(|order| matches!(order.content(), Order::Host(_)));
         hosts.count()
