feat(schedule): keep orders to hosts within the rate of the host service

Cause: the host service refuses orders beyond cloud.dutyPerS a second from all entries together.

Orders for work that waits and for waves that would be late go first, hosts that are switched off to save their costs last.

--- a/crates/schedule/src/engine/balance.rs
+++ b/crates/schedule/src/engine/balance.rs
@@ -3,6 +3,7 @@
 use super::Engine;
 use crate::{
     fleet::{
+        Urgency,
         demand::{
             Amount,
             PoolForecast, //
@@ -108,7 +109,9 @@
             self.move_hosts_for_labels(need, now);
         }
         for index in 0..needs.len() {
-            while needs[index].have < needs[index].want {
+            let waits = !self.pools[needs[index].pool].ready.is_empty();
+            let urgency = if waits { Urgency::Now } else { Urgency::Soon };
+            while needs[index].have < needs[index].want && self.admits_order(urgency) {
                 let Some(host) = self.find_spare_host(&needs, standby, needs[index], now) else {
                     break;
                 };
@@ -233,6 +236,9 @@
         }
         for (label, count) in missing_hosts {
             for _ in 0..count.round().max(0.0) as usize {
+                if !self.admits_order(Urgency::Soon) {
+                    return;
+                }
                 let mut hosts = self.fleet.hosts.iter();
                 let free = |(key, host): &(host::Key, &Host)| {
                     host.has_label(&label)
@@ -343,7 +349,7 @@
             keys.sort_by(|one, other| gain(one).total_cmp(&gain(other)));
         }
         for key in keys {
-            if need.have <= need.want {
+            if need.have <= need.want || !self.admits_order(Urgency::Saving) {
                 return;
             }
             if self.is_orderable(key, now) && self.runner_of(&self.fleet.hosts[key]).is_some() {
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -4,6 +4,7 @@
     Config, Note, Order, Rules,
     fleet::{
         Fleet,
+        Rate,
         host, //
     },
     job::{
@@ -116,7 +117,7 @@
             effects: Vec::new(),
             storing: None,
             startable: Vec::new(),
-            fleet: Fleet::new(takeover.hosts),
+            fleet: Fleet::new(takeover.hosts, Rate::new(rules.host_orders_per_second, now)),
             orderable: Vec::new(),
             orders: Vec::new(),
             notes: Vec::new(),
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -7,7 +7,7 @@
 };
 use crate::{
     fleet::{
-        Host, Wave,
+        Host, Urgency, Wave,
         host::{
             self,
             Listed,
@@ -169,6 +169,7 @@
 
     /// Advances maintenance waves and moves hosts between pools.
     pub(super) fn manage_hosts(&mut self, now: Time) {
+        self.fleet.count_outstanding();
         if self.fleet.list_requested.is_none() && now >= self.fleet.next_list {
             self.fleet.list_requested = Some(now);
             self.orders.push(Order::ListHosts);
@@ -255,7 +256,8 @@
         let mut room = wave
             .cap
             .saturating_sub(self.fleet.in_maintenance(wave, blocked));
-        let urgent = now.since(wave.since) * 2 > wave.duration;
+        let urgent = wave.is_urgent(now);
+        let urgency = if urgent { Urgency::Now } else { Urgency::Soon };
         let left = wave.hosts.iter().filter(|name| !wave.begun.contains(*name));
         let keys: Vec<host::Key> = left
             .filter_map(|name| self.fleet.index.get(name).copied())
@@ -264,6 +266,9 @@
             if room == 0 {
                 return;
             }
+            if !self.admits_order(urgency) {
+                break;
+            }
             if self.is_orderable(key, now) {
                 room -= 1;
                 self.maintain_host(key, number, now);
@@ -334,8 +339,14 @@
         self.close_host(key, Operation::Maintain(wave), now);
     }
 
+    /// Tells whether another host may get an order, as far as the rate of the host service goes.
+    pub(super) fn admits_order(&self, urgency: Urgency) -> bool {
+        self.fleet.rate.admits(urgency, self.fleet.outstanding)
+    }
+
     /// Closes a host to new tasks for an operation, which is ordered once the log has the order.
     pub(super) fn close_host(&mut self, key: host::Key, operation: Operation, now: Time) {
+        self.fleet.outstanding += 1;
         self.set_closing(key, true);
         let runner = self.runner_of(&self.fleet.hosts[key]);
         let host = &mut self.fleet.hosts[key];
@@ -355,21 +366,42 @@
         self.effects.push(Effect::Order(key));
     }
 
-    /// Gives the order for the operation on a host, or stores it again if its record is too old.
-    pub(super) fn order_host(&mut self, key: host::Key, now: Time) {
+    /// Returns what the order to a host is worth.
+    pub(super) fn urgency(&self, key: host::Key, now: Time) -> Urgency {
+        match self.fleet.hosts[key].operation {
+            Some(Operation::Move(pool)) if self.pools[pool].standby => Urgency::Saving,
+            Some(Operation::Move(pool)) if !self.pools[pool].ready.is_empty() => Urgency::Now,
+            Some(Operation::Maintain(wave)) => match self.fleet.waves.get(&wave) {
+                Some(wave) if wave.is_urgent(now) => Urgency::Now,
+                _ => Urgency::Soon,
+            },
+            _ => Urgency::Soon,
+        }
+    }
+
+    /// Gives the order for the operation on a host, or stores it again if its record is too old. Returns false if the host
+    /// service takes no more orders now.
+    pub(super) fn order_host(&mut self, key: host::Key, now: Time) -> bool {
         let host = &self.fleet.hosts[key];
         let until = host.ordered_at + SEND_LIMIT;
+        if host.operation.is_none() {
+            return true;
+        }
         if now > until {
             self.store_order(key, now);
-            return;
+            return true;
+        }
+        if !self.fleet.rate.take(now) {
+            return false;
         }
+        let host = &self.fleet.hosts[key];
         let name = Arc::clone(&host.listed.name);
         let fence = self.epoch;
         let number = host.number;
         let (kind, action) = match host.operation {
             Some(Operation::Maintain(wave)) => (Kind::HostMaintained, Action::Maintain(wave)),
             Some(Operation::Move(pool)) => (Kind::HostMoved, Action::Move(self.pool_name(pool))),
-            None => return,
+            None => return true,
         };
         self.orders.push(Order::Host(order::Host {
             host: key,
@@ -380,6 +412,7 @@
             fence,
         }));
         self.note(Note::new(kind, "ordered", now).with_place(&name));
+        true
     }
 
     fn pool_name(&self, pool: key::Pool) -> Arc<str> {
@@ -387,12 +420,18 @@
     }
 
     fn repeat_host_orders(&mut self, now: Time) {
-        let due = |host: &Host| {
+        let waiting = &self.orderable;
+        let due = |key: host::Key, host: &Host| {
             host.operation.is_some()
                 && !host.carried_out
                 && now >= host.ordered_at + REPEAT_INTERVAL
+                && !waiting.contains(&key)
         };
-        let keys = self.fleet.hosts.iter().filter(|(_, host)| due(host));
+        let keys = self
+            .fleet
+            .hosts
+            .iter()
+            .filter(|(key, host)| due(*key, host));
         let keys: Vec<host::Key> = keys.map(|(key, _)| key).collect();
         for key in keys {
             self.store_order(key, now);
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -101,9 +101,14 @@
         // A host whose order was stored twice, while the log was unavailable, gets it once.
         hosts.sort_unstable();
         hosts.dedup();
-        for host in hosts {
-            if self.fleet.hosts.contains_key(host) {
-                self.order_host(host, now);
+        hosts.retain(|&host| self.fleet.hosts.contains_key(host));
+        hosts.sort_by_key(|&host| self.urgency(host, now));
+        let mut hosts = hosts.into_iter();
+        while let Some(host) = hosts.next() {
+            if !self.order_host(host, now) {
+                self.orderable.push(host);
+                self.orderable.extend(hosts);
+                return;
             }
         }
     }
--- a/crates/schedule/src/fleet/fleet.rs
+++ b/crates/schedule/src/fleet/fleet.rs
@@ -3,6 +3,7 @@
 use super::{
     Demand,
     Host,
+    Rate,
     Wave,
     host, //
 };
@@ -42,11 +43,15 @@
     pub(crate) balanced_at: Time,
     /// Demand on the pools.
     pub(crate) demand: Demand,
+    /// Limit on the rate of orders.
+    pub(crate) rate: Rate,
+    /// Number of hosts with an order that is not known to be carried out.
+    pub(crate) outstanding: usize,
 }
 
 impl Fleet {
     /// Creates a fleet without hosts. `former_orders` says when former leaders last gave orders to hosts.
-    pub fn new(former_orders: HashMap<Arc<str>, Time>) -> Self {
+    pub fn new(former_orders: HashMap<Arc<str>, Time>, rate: Rate) -> Self {
         Self {
             hosts: SlotMap::with_key(),
             index: HashMap::new(),
@@ -59,9 +64,17 @@
             next_list: Time::MIN,
             balanced_at: Time::MIN,
             demand: Demand::default(),
+            rate,
+            outstanding: 0,
         }
     }
 
+    /// Counts the hosts with an order that is not known to be carried out.
+    pub(crate) fn count_outstanding(&mut self) {
+        let ordered = |host: &&Host| host.operation.is_some() && !host.carried_out;
+        self.outstanding = self.hosts.values().filter(ordered).count();
+    }
+
     /// Returns the number of hosts of a wave that are in maintenance or may be, because this leader or a former one has
     /// given them an order.
     ///
--- a/crates/schedule/src/fleet/wave.rs
+++ b/crates/schedule/src/fleet/wave.rs
@@ -26,3 +26,10 @@
     /// Whether the maintenance of all existing hosts has begun.
     pub done: bool,
 }
+
+impl Wave {
+    /// Tells whether so much of the wave's time is over that it may end late.
+    pub fn is_urgent(&self, now: Time) -> bool {
+        now.since(self.since) * 2 > self.duration
+    }
+}
--- a/crates/schedule/tests/engine/host.rs
+++ b/crates/schedule/tests/engine/host.rs
@@ -217,3 +217,53 @@
     let gone = harness.announced.clone();
     insta::assert_debug_snapshot!([listed_again, gone]);
 }
+
+/// Guards against more orders to hosts than the host service accepts in a second, all of which it would refuse, when a
+/// wave and the first moves of a day come together.
+#[test]
+fn orders_to_hosts_stay_within_the_rate_of_the_host_service() {
+    const RATE: u32 = 16;
+    let rules = Rules {
+        host_orders_per_second: Some(RATE),
+        ..Rules::default()
+    };
+    let mut harness = Harness::with_rules(120, rules, &[]);
+    let names: Vec<Arc<str>> = (0..60)
+        .map(|index| format!("host-r{index}").into())
+        .collect();
+    let now = harness.time();
+    harness
+        .engine
+        .add_wave(1, names, Duration::from_secs(20), 30, None, now);
+    harness.run_ms(25_000);
+    let orders = harness.timeline().lines().filter_map(|line| {
+        let (at, order) = line.trim().split_once(' ')?;
+        let order = order.split(' ').next()?;
+        matches!(order, "move" | "maintain").then(|| (at.parse().ok(), order.to_owned()))
+    });
+    let orders: Vec<(Option<u64>, String)> = orders.collect();
+    let times: Vec<u64> = orders.iter().filter_map(|(at, _)| *at).collect();
+    let in_second = |from: &u64| {
+        times
+            .iter()
+            .filter(|at| (*from..from + 1_000).contains(*at))
+            .count()
+    };
+    let most = times.iter().map(in_second).max();
+    assert!(
+        most.is_some_and(|most| most <= RATE as usize),
+        "{most:?} orders in a second"
+    );
+    let maintained = orders
+        .iter()
+        .filter(|(_, order)| order == "maintain")
+        .count();
+    assert_eq!(maintained, 60);
+    assert_eq!(harness.announced, [(1, false), (1, true)]);
+    let last = orders.iter().rfind(|(_, order)| order == "maintain");
+    let last = last.and_then(|(at, _)| *at);
+    assert!(
+        last.is_some_and(|at| at < 20_000),
+        "the wave is late: {last:?}"
+    );
+}
