feat(control): let candidates carry out the orders of a leader of many runners

Cause: with reads out of the way, the processor of the leader binds at 1,100 runners.

Change: a leader with more than 700 runners for a whole core gives the orders to runners in batches to the other candidates, by the zone of the runner and always to the same one. They carry the leader's fence. Smaller deployments keep calling runners from the leader.

Result: the tests over loopback show that no order is lost when the executor ends, and that a malformed message ends only its connection.

--- a/crates/control/src/control/membership.rs
+++ b/crates/control/src/control/membership.rs
@@ -5,6 +5,7 @@
     lead::FOLLOWER_READ_INTERVAL, //
 };
 use crate::{
+    drive::Executor,
     front::Notice,
     store::Request, //
 };
@@ -29,6 +30,12 @@
 const CLAIM_SPACING_MIN: Duration = Duration::from_millis(100);
 const CLAIM_SPACING_MAX: Duration = Duration::from_millis(1_000);
 
+/// Number of runners that a leader with a whole core calls itself. A call to a runner takes 0.1 ms of processor time, and
+/// each runner gets about one a second of each kind in a peak of demand.
+const OWN_RUNNERS: usize = 700;
+/// Capacity of a whole core in thousandths of a core.
+const WHOLE_CORE: usize = 1_000;
+
 /// Whether this entry reads the jobs, and the other entries that do.
 #[derive(Debug, Default)]
 pub(super) struct Membership {
@@ -42,6 +49,8 @@
     awaits_all: bool,
     /// The candidates to which the front thread was last told to pass requests on.
     route: Vec<SocketAddr>,
+    /// The entries to which the drive thread was last told to give orders.
+    executors: Vec<Executor>,
 }
 
 impl Membership {
@@ -139,6 +148,7 @@
             self.stop_following(now);
         }
         self.update_route(now);
+        self.update_executors(now);
     }
 
     /// Returns the place of this entry among those that may claim the lead; `None` if it may not.
@@ -181,6 +191,33 @@
         });
     }
 
+    /// Lets other candidates carry out the orders to runners if there are more of these than this entry can call.
+    fn update_executors(&mut self, now: Time) {
+        let Some(roster) = &self.membership.roster else {
+            return;
+        };
+        let capacity = self.identity.capacity.max(1) as usize;
+        let runners = self.claim.as_ref().map_or(0, |claim| claim.runners.len());
+        let delegates = self.engine.is_some() && runners * WHOLE_CORE / capacity > OWN_RUNNERS;
+        let executors: Vec<Executor> = match delegates {
+            true => {
+                let executors = roster.executors(now).into_iter();
+                executors
+                    .map(|(address, zone)| Executor { address, zone })
+                    .collect()
+            }
+            false => Vec::new(),
+        };
+        if executors != self.membership.executors {
+            self.membership.executors.clone_from(&executors);
+            let event = Event::new("executors", now)
+                .with("count", Value::Count(executors.len() as u64))
+                .with("runners", Value::Count(runners as u64));
+            self.out.events.push(event);
+            self.out.executors = Some(executors);
+        }
+    }
+
     fn update_route(&mut self, now: Time) {
         let route = match self.membership.relies_on_seats(self.jobs_read) {
             Some(roster) => roster.route(now),
--- a/crates/control/src/control/output.rs
+++ b/crates/control/src/control/output.rs
@@ -1,6 +1,7 @@
 //! Messages from the control thread to the other threads.
 
 use crate::{
+    drive::Executor,
     front,
     store, //
 };
@@ -27,6 +28,8 @@
     pub notices: Vec<front::Notice>,
     /// To the store thread.
     pub requests: Vec<store::Request>,
+    /// To the drive thread: the entries to which it gives orders to runners, if they have changed.
+    pub executors: Option<Vec<Executor>>,
     /// To the drive thread.
     pub orders: Vec<Envelope<Order>>,
     /// To the thread that writes logs and metrics.
--- a/crates/control/src/control/run.rs
+++ b/crates/control/src/control/run.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     clock::wall,
+    drive,
     front,
     process::Shutdown,
     store, //
@@ -16,12 +17,9 @@
     Sender,
     Signal, //
 };
-use sassafrascrank_schedule::{
-    Order,
-    order::{
-        Envelope,
-        report::Report, //
-    },
+use sassafrascrank_schedule::order::{
+    Envelope,
+    report::Report, //
 };
 use sassafrascrank_trace::Sink;
 use std::{
@@ -53,8 +51,8 @@
     pub requests: Sender<store::Request>,
     /// Reports on orders from the drive thread.
     pub reports: Receiver<Envelope<Report>>,
-    /// Orders for the drive thread.
-    pub orders: Sender<Envelope<Order>>,
+    /// Requests to the drive thread.
+    pub orders: Sender<drive::Request>,
     /// Signal of the rings that the control thread reads.
     pub signal: Signal,
     /// Events for logs and metrics.
@@ -70,7 +68,7 @@
 struct Backlog {
     notices: VecDeque<front::Notice>,
     requests: VecDeque<store::Request>,
-    orders: VecDeque<Envelope<Order>>,
+    orders: VecDeque<drive::Request>,
 }
 
 /// Runs until the shutdown has reached the end of the control thread. `clock` returns the present time.
@@ -126,7 +124,10 @@
 fn send(channels: &mut Channels, backlog: &mut Backlog, output: Output) {
     backlog.notices.extend(output.notices);
     backlog.requests.extend(output.requests);
-    backlog.orders.extend(output.orders);
+    let executors = output.executors.map(drive::Request::Delegate);
+    backlog.orders.extend(executors);
+    let orders = output.orders.into_iter().map(drive::Request::Order);
+    backlog.orders.extend(orders);
     send_backlog(&mut backlog.notices, &mut channels.notices);
     send_backlog(&mut backlog.requests, &mut channels.requests);
     send_backlog(&mut backlog.orders, &mut channels.orders);
--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -1,5 +1,12 @@
 //! Execution of orders, each in a task of its own.
 
+use super::{
+    delegate::{
+        self,
+        Delegate, //
+    },
+    executor, //
+};
 use crate::{
     clock::Clock,
     port::{
@@ -8,6 +15,7 @@
         Runners, //
     },
 };
+use core::net::SocketAddr;
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_ring::{
     Receiver,
@@ -17,7 +25,7 @@
 use sassafrascrank_schedule::{
     fleet::host::Outcome,
     order::{
-        Action, Envelope, Order,
+        Action, Envelope, Order, Target,
         report::{
             Answer,
             Report, //
@@ -26,7 +34,9 @@
 };
 use std::{
     cell::RefCell,
-    rc::Rc, //
+    net,
+    rc::Rc,
+    sync::Arc, //
 };
 use tokio::{
     task::spawn_local,
@@ -40,14 +50,34 @@
 pub struct Drive<P> {
     /// The platform.
     pub platform: P,
-    /// Orders from the control thread.
-    pub orders: Receiver<Envelope<Order>>,
-    /// Signal of `orders`.
+    /// Requests of the control thread.
+    pub requests: Receiver<Request>,
+    /// Signal of `requests`.
     pub signal: Signal,
     /// Reports for the control thread.
     pub reports: Sender<Envelope<Report>>,
     /// The clock of the process.
     pub clock: Clock,
+    /// Listener for leaders whose orders this entry carries out, if there is one.
+    pub executor: Option<net::TcpListener>,
+}
+
+/// Request to the drive thread.
+#[derive(Clone, Debug)]
+pub enum Request {
+    /// Carries out an order.
+    Order(Envelope<Order>),
+    /// Gives orders to runners to these entries from now on. Without any, this entry carries them out itself.
+    Delegate(Vec<Executor>),
+}
+
+/// An entry that carries out orders for a leader.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Executor {
+    /// Address for orders.
+    pub address: SocketAddr,
+    /// Availability zone of the entry.
+    pub zone: Arc<str>,
 }
 
 /// What the tasks of the orders share.
@@ -56,6 +86,7 @@
     fleet: P::Fleet,
     reports: RefCell<Sender<Envelope<Report>>>,
     clock: Clock,
+    delegates: RefCell<Vec<Rc<Delegate>>>,
 }
 
 /// Runs until the sender of orders is gone. It has to run in a local task set.
@@ -65,21 +96,87 @@
         fleet: drive.platform.fleet(),
         reports: RefCell::new(drive.reports),
         clock: drive.clock,
+        delegates: RefCell::default(),
     });
+    if let Some(listener) = drive.executor {
+        let (platform, clock) = (drive.platform, drive.clock);
+        let connect = move || platform.runners();
+        spawn_local(async move { executor::serve(listener, connect, clock).await });
+    }
     loop {
-        let ready = || !drive.orders.is_empty() || drive.orders.is_closed();
+        let ready = || !drive.requests.is_empty() || drive.requests.is_closed();
         drive.signal.wait(ready).await;
-        while let Some(order) = drive.orders.try_recv() {
-            let shared = Rc::clone(&shared);
-            spawn_local(async move { shared.carry_out(order).await });
+        while let Some(request) = drive.requests.try_recv() {
+            match request {
+                Request::Order(order) => shared.handle(order),
+                Request::Delegate(executors) => shared.delegate(executors),
+            }
         }
-        if drive.orders.is_closed() {
+        if drive.requests.is_closed() {
             return;
         }
     }
 }
 
+/// Returns the runner that an order is for, if it may be given to an executor.
+fn target(order: &Order) -> Option<&Target> {
+    match order {
+        Order::Start(start) => Some(&start.target),
+        Order::Stop(stop) => Some(&stop.target),
+        Order::Poll(poll) => Some(&poll.target),
+        Order::Pace(pace) => Some(&pace.target),
+        _ => None,
+    }
+}
+
 impl<P: Platform> Shared<P> {
+    /// Carries out an order, or gives it to an executor.
+    fn handle(self: &Rc<Self>, order: Envelope<Order>) {
+        if let Order::CloseConnections(Some(address)) = *order.content() {
+            for delegate in self.delegates.borrow().iter() {
+                delegate.close(address);
+            }
+        }
+        let delegates = self.delegates.borrow();
+        let chosen = target(order.content()).and_then(|it| delegate::choose(&delegates, it));
+        let kept = match chosen {
+            Some(delegate) => delegate.give(order),
+            None => Some(order),
+        };
+        if let Some(order) = kept {
+            self.spawn(order);
+        }
+    }
+
+    fn spawn(self: &Rc<Self>, order: Envelope<Order>) {
+        let shared = Rc::clone(self);
+        spawn_local(async move { shared.carry_out(order).await });
+    }
+
+    /// Replaces the executors. Those that stay keep their connections.
+    fn delegate(self: &Rc<Self>, executors: Vec<Executor>) {
+        let mut delegates = self.delegates.borrow_mut();
+        delegates.retain(|delegate| {
+            let stays = executors.contains(delegate.executor());
+            if !stays {
+                delegate.dismiss();
+            }
+            stays
+        });
+        for executor in executors {
+            if delegates.iter().any(|known| *known.executor() == executor) {
+                continue;
+            }
+            let delegate = Delegate::new(executor, self.clock);
+            delegates.push(Rc::clone(&delegate));
+            let shared = Rc::clone(self);
+            spawn_local(async move {
+                let carry_out = |order| shared.spawn(order);
+                delegate.run(|report| shared.send(report), carry_out).await;
+            });
+        }
+    }
+
     async fn carry_out(&self, order: Envelope<Order>) {
         let sent = self.clock.now();
         let answer = |clock, result| Answer {
--- /dev/null
+++ b/crates/control/src/drive/wire.rs
@@ -0,0 +1,283 @@
+//! Messages between a leader and its executors. Structs are stored as arrays, so the order of their fields is part of the
+//! format.
+
+use core::net::SocketAddr;
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::{
+    Id,
+    id::{
+        Position,
+        Task, //
+    },
+};
+use sassafrascrank_schedule::order::{
+    Order,
+    report::{
+        EndReason,
+        Ended,
+        Failure,
+        Running,
+        View, //
+    },
+};
+
+/// Orders of a leader.
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) struct Batch {
+    /// When the leader sent it, in microseconds of its clock.
+    pub(super) sent: u64,
+    /// Orders with their numbers.
+    pub(super) orders: Vec<(u64, Command)>,
+    /// Addresses of runners that have left.
+    pub(super) closed: Vec<SocketAddr>,
+}
+
+/// Answers of an executor. Without results it only shows that the executor is alive.
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) struct Results(pub(super) Vec<(u64, Outcome)>);
+
+/// An order to a runner.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) struct Command {
+    /// Name of the runner.
+    pub(super) id: String,
+    pub(super) address: SocketAddr,
+    pub(super) fence: u64,
+    pub(super) action: Action,
+}
+
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) enum Action {
+    Start {
+        run: Run,
+        specification: String,
+        until: u64,
+        checkpoint: Option<String>,
+        ticket: Option<String>,
+    },
+    Stop(Run),
+    Poll {
+        until: Option<u64>,
+        acknowledged: u64,
+        wait_ms: u64,
+    },
+    Pace {
+        run: Run,
+        percent: u8,
+    },
+}
+
+/// An attempt of a task: job, occurrence, step, index, and the number of the attempt.
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) struct Run(u64, u32, u16, u16, u32);
+
+impl Run {
+    fn new(task: Task, attempt: u32) -> Self {
+        let Position {
+            occurrence,
+            step,
+            index,
+        } = task.position;
+        Self(task.job.0, occurrence, step, index, attempt)
+    }
+
+    pub(super) fn task(self) -> Task {
+        Task {
+            job: Id(self.0),
+            position: Position {
+                occurrence: self.1,
+                step: self.2,
+                index: self.3,
+            },
+        }
+    }
+
+    pub(super) fn attempt(self) -> u32 {
+        self.4
+    }
+}
+
+/// What a runner answered.
+#[derive(Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) struct Outcome {
+    /// The runner's clock in milliseconds, if the answer has it.
+    pub(super) clock: Option<u64>,
+    pub(super) result: Result<WireView, u8>,
+}
+
+/// State of a runner; empty in answers to other orders than polls.
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) struct WireView {
+    incarnation: Option<u64>,
+    /// Attempt, checkpoint, percentage, load.
+    running: Vec<(Run, Option<String>, u8, u64)>,
+    /// Number, attempt, reason, checkpoint.
+    ended: Vec<(u64, Run, u8, Option<String>)>,
+    truncated: bool,
+}
+
+/// Failures by their number on the wire.
+const FAILURES: [Failure; 10] = [
+    Failure::Fenced,
+    Failure::StaleAttempt,
+    Failure::LeaseExpired,
+    Failure::NoCapacity,
+    Failure::InvalidTicket,
+    Failure::Unhealthy,
+    Failure::Rejected,
+    Failure::Replaced,
+    Failure::Unsent,
+    Failure::Unknown,
+];
+
+/// Reasons of ends by their number on the wire.
+const END_REASONS: [EndReason; 6] = [
+    EndReason::Done,
+    EndReason::Failed,
+    EndReason::Stopped,
+    EndReason::LeaseExpired,
+    EndReason::GangBroken,
+    EndReason::GangIncomplete,
+];
+
+fn number_of<T: PartialEq>(all: &[T], value: &T) -> u8 {
+    let index = all.iter().position(|other| other == value);
+    index.unwrap_or(all.len()) as u8
+}
+
+/// Returns the number of a failure on the wire.
+pub(super) fn failure_number(failure: Failure) -> u8 {
+    number_of(&FAILURES, &failure)
+}
+
+/// Returns the failure with a number on the wire. One that a later version has added says nothing about the effect.
+pub(super) fn failure(number: u8) -> Failure {
+    let known = FAILURES.get(usize::from(number));
+    known.copied().unwrap_or(Failure::Unknown)
+}
+
+/// An order is none for a runner.
+#[derive(Debug)]
+pub(super) struct NoCommand;
+
+impl TryFrom<&Order> for Command {
+    type Error = NoCommand;
+
+    fn try_from(order: &Order) -> Result<Self, NoCommand> {
+        let text = |text: &Option<std::sync::Arc<str>>| text.as_deref().map(str::to_owned);
+        let (target, action) = match order {
+            Order::Start(start) => (
+                &start.target,
+                Action::Start {
+                    run: Run::new(start.task, start.attempt),
+                    specification: start.specification.to_string(),
+                    until: start.until,
+                    checkpoint: text(&start.checkpoint),
+                    ticket: text(&start.ticket),
+                },
+            ),
+            Order::Stop(stop) => (
+                &stop.target,
+                Action::Stop(Run::new(stop.task, stop.attempt)),
+            ),
+            Order::Poll(poll) => (
+                &poll.target,
+                Action::Poll {
+                    until: poll.until,
+                    acknowledged: poll.acknowledged,
+                    wait_ms: poll.wait.as_millis() as u64,
+                },
+            ),
+            Order::Pace(pace) => (
+                &pace.target,
+                Action::Pace {
+                    run: Run::new(pace.task, pace.attempt),
+                    percent: pace.percent,
+                },
+            ),
+            _ => return Err(NoCommand),
+        };
+        Ok(Self {
+            id: target.id.to_string(),
+            address: target.address,
+            fence: target.fence,
+            action,
+        })
+    }
+}
+
+impl From<View> for WireView {
+    fn from(view: View) -> Self {
+        let running = view.running.into_iter().map(|run| {
+            let checkpoint = run.checkpoint.as_deref().map(str::to_owned);
+            let attempt = Run::new(run.task, run.attempt);
+            (attempt, checkpoint, run.percent, run.load)
+        });
+        let ended = view.ended.into_iter().map(|end| {
+            let checkpoint = end.checkpoint.as_deref().map(str::to_owned);
+            let reason = number_of(&END_REASONS, &end.reason);
+            (
+                end.number,
+                Run::new(end.task, end.attempt),
+                reason,
+                checkpoint,
+            )
+        });
+        Self {
+            incarnation: view.incarnation,
+            running: running.collect(),
+            ended: ended.collect(),
+            truncated: view.truncated,
+        }
+    }
+}
+
+/// An executor sent an end whose reason is unknown.
+#[derive(Debug)]
+pub(super) struct UnknownReason;
+
+impl TryFrom<WireView> for View {
+    type Error = UnknownReason;
+
+    fn try_from(wire: WireView) -> Result<Self, UnknownReason> {
+        let running = wire.running.into_iter();
+        let running = running.map(|(run, checkpoint, percent, load)| Running {
+            task: run.task(),
+            attempt: run.attempt(),
+            checkpoint: checkpoint.map(Into::into),
+            percent,
+            load,
+        });
+        let ended = wire
+            .ended
+            .into_iter()
+            .map(|(number, run, reason, checkpoint)| {
+                let reason = END_REASONS.get(usize::from(reason)).ok_or(UnknownReason)?;
+                Ok(Ended {
+                    number,
+                    task: run.task(),
+                    attempt: run.attempt(),
+                    reason: *reason,
+                    checkpoint: checkpoint.map(Into::into),
+                })
+            });
+        Ok(Self {
+            incarnation: wire.incarnation,
+            running: running.collect(),
+            ended: ended.collect::<Result<_, _>>()?,
+            truncated: wire.truncated,
+        })
+    }
+}
+
+/// Returns a time in microseconds, as [`Batch::sent`] has it.
+pub(super) fn micros(time: Time) -> u64 {
+    time.as_micros()
+}
--- a/crates/control/src/process/listeners.rs
+++ b/crates/control/src/process/listeners.rs
@@ -15,6 +15,8 @@
     pub metrics: Option<TcpListener>,
     /// Listener for callers' requests that other entries pass on, if there is one.
     pub relayed: Option<TcpListener>,
+    /// Listener for leaders whose orders this entry carries out, if there is one.
+    pub executor: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -28,10 +30,12 @@
         readiness: SocketAddr,
         metrics: Option<SocketAddr>,
         relayed: Option<SocketAddr>,
+        executor: Option<SocketAddr>,
     ) -> Result<Self, Error> {
         Ok(Self {
             metrics: metrics.map(listen).transpose()?,
             relayed: relayed.map(listen).transpose()?,
+            executor: executor.map(listen).transpose()?,
             callers: listen(callers)?,
             readiness: listen(readiness)?,
         })
--- a/crates/control/src/process/process.rs
+++ b/crates/control/src/process/process.rs
@@ -111,7 +111,6 @@
         logger: Arc<Logger>,
     ) -> Result<Self, Error> {
         let clock = Clock::new();
-        let identity = settings.identity(wall());
         let shutdown = Shutdown::within(settings.grace);
         let [wake, trace_wake, front_signal, store_signal, drive_signal] = signals();
         let (call_sender, calls) = ring(CALL_CAPACITY, &wake);
@@ -131,8 +130,8 @@
             stop: Arc::clone(&trace_stop),
             metrics: listeners.metrics,
             logger,
-        };
-        let trace = trace.start(clock)?;
+        }
+        .start(clock)?;
         let front = Front {
             platform: platform.clone(),
             callers: listeners.callers,
@@ -160,10 +159,11 @@
         start("store", move || store::run(store))?;
         let drive = Drive {
             platform,
-            orders,
+            requests: orders,
             signal: drive_signal,
             reports: report_sender,
             clock,
+            executor: listeners.executor,
         };
         start("drive", move || drive::run(drive))?;
         let channels = Channels {
@@ -178,7 +178,7 @@
             stop: Arc::clone(&stop),
             shutdown,
         };
-        let control = settings.control(identity, clock.now());
+        let control = settings.control(settings.identity(wall()), clock.now());
         let time = move || clock.now();
         let control = start("control", move || control::run(control, channels, time))?;
         Ok(Self {
--- a/crates/control/src/process/settings.rs
+++ b/crates/control/src/process/settings.rs
@@ -41,6 +41,8 @@
     pub zone: Arc<str>,
     /// Address at which it answers requests that other entries pass on.
     pub address: SocketAddr,
+    /// Address at which it carries out orders of a leader.
+    pub executor: SocketAddr,
     /// Number of seats, and durations that decide who holds them.
     pub timing: sassafrascrank_roster::Timing,
 }
@@ -53,6 +55,7 @@
                 name: Arc::clone(&identity.name),
                 incarnation: identity.incarnation,
                 address: seats.address,
+                executor: seats.executor,
                 capacity: identity.capacity,
                 leads: false,
             };
--- /dev/null
+++ b/crates/control/tests/executor.rs
@@ -0,0 +1,406 @@
+//! Orders of a leader that another entry carries out, over loopback connections.
+
+use bytes::Bytes;
+use core::net::SocketAddr;
+use http_body_util::Full;
+use hyper::{
+    Response,
+    http::request, //
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_control::{
+    clock::Clock,
+    drive::{
+        self,
+        Drive,
+        Executor,
+        Request, //
+    },
+    port::{
+        self,
+        Answer,
+        AppendError,
+        Call,
+        Dialect,
+        Item,
+        OperatorRecord,
+        Page,
+        Platform,
+        Producer,
+        ReadError,
+        Reply,
+        Runners,
+        Topic, //
+    },
+};
+use sassafrascrank_job::{
+    Id,
+    Repeat,
+    Resource,
+    Step,
+    id::Task, //
+};
+use sassafrascrank_ring::{
+    Receiver,
+    Sender,
+    Signal,
+    ring, //
+};
+use sassafrascrank_schedule::{
+    Config, Engine, Rules,
+    engine::{
+        Permission,
+        Takeover, //
+    },
+    fleet::host,
+    order::{
+        self, Envelope,
+        report::{
+            Approval,
+            Report,
+            View, //
+        },
+    },
+    runner::{
+        Change,
+        Listed, //
+    },
+};
+use std::{
+    collections::HashMap,
+    net::TcpListener,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+};
+use tokio::{
+    runtime::Builder,
+    sync::oneshot,
+    task::LocalSet,
+    time::sleep, //
+};
+
+const CAPACITY: usize = 256;
+/// Longest wait for an expected condition.
+const LIMIT: Duration = Duration::from_secs(30);
+const RUNNERS: usize = 20;
+
+/// Names of the runners that an entry has polled.
+type Polled = Arc<Mutex<Vec<String>>>;
+
+/// A platform whose runners answer polls at once.
+#[derive(Clone)]
+struct Stub(Polled);
+
+/// What the drive thread does not use of a platform.
+#[derive(Clone, Copy)]
+enum Unused {}
+
+impl port::Log for Unused {
+    async fn newest(&mut self, _: Topic) -> Result<Page, ReadError> {
+        match *self {}
+    }
+
+    async fn read(&mut self, _: Topic, _: u64, _: Duration) -> Result<Page, ReadError> {
+        match *self {}
+    }
+
+    async fn append(
+        &mut self,
+        _: &Producer,
+        _: &[(String, Vec<u8>)],
+        _: Duration,
+    ) -> Result<u64, AppendError> {
+        match *self {}
+    }
+
+    async fn write_seat(&mut self, _: &str, _: &[u8]) -> Result<(), AppendError> {
+        match *self {}
+    }
+
+    async fn announce(&mut self, _: u64, _: bool) -> Result<(), AppendError> {
+        match *self {}
+    }
+
+    fn operator_record(_: &Item) -> Result<Option<OperatorRecord>, String> {
+        Ok(None)
+    }
+
+    fn runner(item: &Item) -> Result<Change, String> {
+        Ok(Change::Removed(item.key.as_str().into()))
+    }
+}
+
+impl Dialect for Unused {
+    fn call(&self, _: &request::Parts) -> Result<Call, String> {
+        match *self {}
+    }
+
+    fn job(&self, _: &[u8]) -> Result<(String, Vec<Step>, Option<Repeat>), String> {
+        match *self {}
+    }
+
+    fn id(&self, _: &str) -> Result<Id, String> {
+        match *self {}
+    }
+
+    fn answer(&self, _: &Reply) -> Response<Full<Bytes>> {
+        match *self {}
+    }
+}
+
+impl Runners for Stub {
+    async fn start(&self, _: &order::Start) -> Answer<()> {
+        (None, Ok(()))
+    }
+
+    async fn stop(&self, _: &order::Stop) -> Answer<()> {
+        (None, Ok(()))
+    }
+
+    async fn poll(&self, order: &order::Poll) -> Answer<View> {
+        self.0.lock().unwrap().push(order.target.id.to_string());
+        (Some(7), Ok(View::default()))
+    }
+
+    async fn pace(&self, _: &order::Pace) -> Answer<()> {
+        (None, Ok(()))
+    }
+
+    fn close(&self, _: Option<SocketAddr>) {}
+
+    async fn advise(&self, _: Task, _: &[Arc<str>]) -> Option<Approval> {
+        None
+    }
+}
+
+impl port::Fleet for Stub {
+    async fn hosts(&self) -> Option<Vec<host::Listed>> {
+        None
+    }
+
+    async fn relocate(&self, _: &str, _: &str, _: u64) -> host::Outcome {
+        host::Outcome::Rejected
+    }
+
+    async fn maintain(&self, _: &str, _: u64, _: u64) -> host::Outcome {
+        host::Outcome::Rejected
+    }
+}
+
+impl Platform for Stub {
+    type Log = Unused;
+    type Runners = Self;
+    type Fleet = Self;
+    type Dialect = Unused;
+
+    fn log(&self) -> Unused {
+        panic!("the drive thread does not use the log")
+    }
+
+    fn runners(&self) -> Self {
+        self.clone()
+    }
+
+    fn fleet(&self) -> Self {
+        self.clone()
+    }
+
+    fn dialect(&self) -> Unused {
+        panic!("the drive thread answers no callers")
+    }
+}
+
+/// The drive thread of an entry.
+struct Entry {
+    polled: Polled,
+    requests: Sender<Request>,
+    reports: Receiver<Envelope<Report>>,
+    executor: Executor,
+    /// Ends the thread and its connections.
+    end: oneshot::Sender<()>,
+}
+
+fn entry() -> Entry {
+    let polled = Polled::default();
+    let platform = Stub(Arc::clone(&polled));
+    let [signal, other] = [(); 2].map(|()| Signal::new());
+    let (requests, receiver) = ring(CAPACITY, &signal);
+    let (report_sender, reports) = ring(CAPACITY, &other);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let executor = Executor {
+        address: listener.local_addr().unwrap(),
+        zone: "zone".into(),
+    };
+    let (end, ended) = oneshot::channel();
+    std::thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        let drive = Drive {
+            platform,
+            requests: receiver,
+            signal,
+            reports: report_sender,
+            clock: Clock::new(),
+            executor: Some(listener),
+        };
+        LocalSet::new().block_on(&runtime, async {
+            tokio::select! {
+                () = drive::run(drive) => {}
+                _ = ended => {}
+            }
+        });
+    });
+    Entry {
+        polled,
+        requests,
+        reports,
+        executor,
+        end,
+    }
+}
+
+fn count(polled: &Polled) -> usize {
+    polled.lock().unwrap().len()
+}
+
+/// Returns the polls of a scheduler that has just begun to lead.
+fn polls() -> Vec<Envelope<order::Order>> {
+    let now = Time::from_millis(1_700_000_000_000);
+    let takeover = Takeover {
+        epoch: 3,
+        runs_until: Time::MIN,
+        hosts: HashMap::new(),
+    };
+    let mut engine = Engine::new(Rules::default(), takeover, &Config::default(), now);
+    for index in 0..RUNNERS {
+        let listed = Listed {
+            id: format!("r{index}").as_str().into(),
+            incarnation: 1,
+            host: format!("host-{index}").as_str().into(),
+            pool: "pool".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: "zone".into(),
+            labels: Box::default(),
+            rack: "rack".into(),
+            capacity: Resource::default(),
+            draining: None,
+            clock: None,
+        };
+        engine.update_runner(Change::Set(listed), now);
+    }
+    engine.tick(Permission::Start, now, now);
+    let orders = engine.take_orders().into_iter();
+    let polls = orders.filter(|order| matches!(order.content(), order::Order::Poll(_)));
+    polls.collect()
+}
+
+async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let began = std::time::Instant::now();
+    while !condition() {
+        assert!(began.elapsed() < LIMIT, "timed out: {what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against orders that are lost because the entry that carries them out has ended, and against orders that the
+/// leader carries out although an executor does.
+#[test]
+fn orders_are_carried_out_although_an_executor_ends() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let (mut leader, executor) = (entry(), entry());
+        let delegate = Request::Delegate(vec![executor.executor.clone()]);
+        assert!(leader.requests.send(delegate).is_ok());
+        // Until the connection is open, the leader calls runners itself.
+        let mut reports = 0;
+        let mut sent = 0;
+        while count(&executor.polled) == 0 {
+            for poll in polls() {
+                assert!(leader.requests.send(Request::Order(poll)).is_ok());
+                sent += 1;
+            }
+            wait_until("the polls are reported", || {
+                while leader.reports.try_recv().is_some() {
+                    reports += 1;
+                }
+                reports == sent
+            })
+            .await;
+        }
+        let own = count(&leader.polled);
+        for poll in polls() {
+            assert!(leader.requests.send(Request::Order(poll)).is_ok());
+            sent += 1;
+        }
+        wait_until("the polls are reported", || {
+            while leader.reports.try_recv().is_some() {
+                reports += 1;
+            }
+            reports == sent
+        })
+        .await;
+        assert_eq!(
+            count(&leader.polled),
+            own,
+            "the leader polls beside its executor"
+        );
+        executor.end.send(()).expect("the executor runs");
+        for poll in polls() {
+            assert!(leader.requests.send(Request::Order(poll)).is_ok());
+            sent += 1;
+        }
+        wait_until("the polls are reported after the end", || {
+            while leader.reports.try_recv().is_some() {
+                reports += 1;
+            }
+            reports == sent
+        })
+        .await;
+        let total = count(&leader.polled) + count(&executor.polled);
+        assert!(total >= sent, "{total} of {sent} polls were carried out");
+    });
+}
+
+/// Guards against an executor that is ended by what is no message, and against one that carries out orders for a leader
+/// that it can't understand.
+#[test]
+fn malformed_message_ends_only_its_connection() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        use tokio::io::{
+            AsyncReadExt,
+            AsyncWriteExt, //
+        };
+        let (mut leader, executor) = (entry(), entry());
+        let messages: [&[u8]; 3] = [
+            &[0xff, 0xff, 0xff, 0xff, 1, 2, 3],
+            &[0, 0, 0, 3, 0xc1, 0xc1, 0xc1],
+            b"GET / HTTP/1.1\r\n\r\n",
+        ];
+        for message in messages {
+            let stream = tokio::net::TcpStream::connect(executor.executor.address).await;
+            let mut stream = stream.unwrap();
+            stream.write_all(message).await.unwrap();
+            let mut rest = Vec::new();
+            // The connection ends, with or without a reset.
+            let _ = stream.read_to_end(&mut rest).await;
+            assert_eq!(rest, b"");
+        }
+        let delegate = Request::Delegate(vec![executor.executor.clone()]);
+        assert!(leader.requests.send(delegate).is_ok());
+        let mut ready = false;
+        wait_until("the executor polls", || {
+            if !ready {
+                for poll in polls() {
+                    let _ = leader.requests.send(Request::Order(poll));
+                }
+            }
+            while leader.reports.try_recv().is_some() {}
+            ready = count(&executor.polled) > 0;
+            ready
+        })
+        .await;
+    });
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -170,7 +170,13 @@
     };
     let logger = line_logger().change_context(Error::Start)?;
     let (callers, readiness) = (settings.callers, settings.readiness);
-    let listeners = Listeners::open(callers, readiness, settings.metrics, settings.relayed);
+    let listeners = Listeners::open(
+        callers,
+        readiness,
+        settings.metrics,
+        settings.relayed,
+        settings.executor,
+    );
     let listeners = listeners.change_context(Error::Start)?;
     let process = settings.process();
     let platform = sassafrascrank_adapter::Platform::new(settings);
--- a/crates/roster/src/roster/roster.rs
+++ b/crates/roster/src/roster/roster.rs
@@ -225,6 +225,19 @@
         rows.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns the candidates that can carry out orders for this one, with their availability zones: the others with at
+    /// least half of its processor capacity.
+    pub fn executors(&self, now: Time) -> Vec<(SocketAddr, Arc<str>)> {
+        let suits = |seat: &Seat| {
+            let candidate = &seat.candidate;
+            candidate.capacity.saturating_mul(REPLACE_RATIO) >= self.own.capacity
+                && !is_same_process(candidate, &self.own)
+        };
+        let live = self.live(now).filter(|(_, seat)| suits(seat));
+        live.map(|(key, seat)| (seat.candidate.executor, Arc::clone(&key.zone)))
+            .collect()
+    }
+
     /// Returns the number of live candidates.
     pub fn len(&self, now: Time) -> usize {
         self.live(now).count()
--- a/crates/roster/src/seat/candidate.rs
+++ b/crates/roster/src/seat/candidate.rs
@@ -12,6 +12,8 @@
     pub incarnation: u64,
     /// Address at which it answers requests that other entries pass on.
     pub address: SocketAddr,
+    /// Address at which it carries out orders of a leader.
+    pub executor: SocketAddr,
     /// Processor capacity in thousandths of a core.
     pub capacity: u32,
     /// Whether it leads. Other candidates are preferred for callers' requests.
--- a/crates/roster/src/seat/wire.rs
+++ b/crates/roster/src/seat/wire.rs
@@ -38,6 +38,7 @@
     /// Thousandths of a core.
     capacity: u32,
     leads: bool,
+    executor: String,
 }
 
 /// Returns the key and the value of the record of a seat.
@@ -82,6 +83,7 @@
             address: candidate.address.to_string(),
             capacity: candidate.capacity,
             leads: candidate.leads,
+            executor: candidate.executor.to_string(),
         }
     }
 }
@@ -90,16 +92,18 @@
     type Error = String;
 
     fn try_from(wire: Wire) -> Result<Self, String> {
-        let address: SocketAddr = wire
-            .address
-            .parse()
-            .map_err(|_| format!("the address {:?} has no IP address and port", wire.address))?;
+        let parse = |address: &str| -> Result<SocketAddr, String> {
+            let parsed = address.parse();
+            parsed.map_err(|_| format!("the address {address:?} has no IP address and port"))
+        };
+        let (address, executor) = (parse(&wire.address)?, parse(&wire.executor)?);
         Ok(Self {
             name: wire.name.into(),
             incarnation: wire.incarnation,
             address,
             capacity: wire.capacity,
             leads: wire.leads,
+            executor,
         })
     }
 }
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -89,6 +89,7 @@
             name: name.as_str().into(),
             incarnation: self.incarnation,
             address: ([127, 0, 0, 1], index as u16).into(),
+            executor: ([127, 0, 0, 2], index as u16).into(),
             capacity: if large { 500 } else { 120 },
             leads: false,
         };
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -179,6 +179,7 @@
         Some(Target {
             runner: key,
             id: Arc::clone(&runner.id),
+            zone: Arc::clone(&runner.zone),
             address: runner.address?,
             fence: self.epoch,
         })
--- a/crates/schedule/src/order/order.rs
+++ b/crates/schedule/src/order/order.rs
@@ -20,6 +20,8 @@
     pub runner: runner::Key,
     /// Name of the runner.
     pub id: Arc<str>,
+    /// Availability zone of the runner.
+    pub zone: Arc<str>,
     /// Address for orders.
     pub address: SocketAddr,
     /// Epoch of the leader. Runners reject orders with a lower one than they have seen.
--- a/crates/standin/src/cluster/entry.rs
+++ b/crates/standin/src/cluster/entry.rs
@@ -22,23 +22,28 @@
     pub readiness: TcpListener,
     /// Listener for requests that other entries pass on.
     pub relayed: Option<TcpListener>,
+    /// Listener for leaders whose orders the entry carries out.
+    pub executor: Option<TcpListener>,
 }
 
 impl Entry {
     /// Opens the listeners of an entry whose platform has the address `platform`.
     pub(super) fn open(name: &str, platform: SocketAddr) -> io::Result<Self> {
-        let (callers, readiness, relayed) = (listen()?, listen()?, listen()?);
+        let (callers, readiness) = (listen()?, listen()?);
+        let (relayed, executor) = (listen()?, listen()?);
         let (front, ready) = (callers.local_addr()?, readiness.local_addr()?);
-        let port = relayed.local_addr()?.port();
+        let first = relayed.local_addr()?.port();
+        let last = executor.local_addr()?.port();
         let settings = format!(
             "node={name}\nzone=zone\nlisten.front={front}\nlisten.ready={ready}\nplatform.addr={platform}\n\
-             cloud.addr={platform}\nportRange={port},{port}\nbounds.holdMaxMs=6000\n"
+             cloud.addr={platform}\nportRange={first},{last}\nbounds.holdMaxMs=6000\n"
         );
         Ok(Self {
             settings,
             callers,
             readiness,
             relayed: Some(relayed),
+            executor: Some(executor),
         })
     }
 }
--- a/crates/tool/src/demo/jobs/deployment.rs
+++ b/crates/tool/src/demo/jobs/deployment.rs
@@ -96,6 +96,7 @@
             readiness: entry.readiness,
             metrics: None,
             relayed: entry.relayed,
+            executor: entry.executor,
         };
         let logger = spdlog::Logger::builder().build();
         let logger = Arc::new(logger.change_context(Error::Start)?);
