perf(control): bound the time that a leader spends on decisions

Cause: the leader made all decisions after each batch of messages. One round takes 0.12 ms with 1,000 idle runners (example scale) and more with waiting tasks and a wave, and at thousands of reports a second rounds followed each other without a pause. Decisions on hosts went over all hosts and the whole wave each time. The number of runners that decides about executors swung around its limit while hosts were switched off.

Change: a leader pauses for eight times the last round, at most 10 ms. Decisions on hosts are made every 20 ms. A leader that gives orders away does so until it stops leading. order_that_was_stored_late_is_stored_again lets 20 ms pass before its first decision.

--- a/crates/control/src/control/membership.rs
+++ b/crates/control/src/control/membership.rs
@@ -49,6 +49,8 @@
     awaits_all: bool,
     /// The candidates to which the front thread was last told to pass requests on.
     route: Vec<SocketAddr>,
+    /// Whether this entry, as the leader, has more runners than it can call.
+    delegates: bool,
     /// The entries to which the drive thread was last told to give orders.
     executors: Vec<Executor>,
 }
@@ -198,8 +200,10 @@
         };
         let capacity = self.identity.capacity.max(1) as usize;
         let runners = self.claim.as_ref().map_or(0, |claim| claim.runners.len());
-        let delegates = self.engine.is_some() && runners * WHOLE_CORE / capacity > OWN_RUNNERS;
-        let executors: Vec<Executor> = match delegates {
+        // Hosts that are switched off have no runners for a while, so a leader that gave orders away goes on doing so.
+        let many = runners * WHOLE_CORE / capacity > OWN_RUNNERS;
+        self.membership.delegates = self.engine.is_some() && (many || self.membership.delegates);
+        let executors: Vec<Executor> = match self.membership.delegates {
             true => {
                 let executors = roster.executors(now).into_iter();
                 executors
--- a/crates/control/src/control/run.rs
+++ b/crates/control/src/control/run.rs
@@ -32,13 +32,21 @@
         },
     },
 };
-use tokio::time::timeout;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
 /// Longest time between two decisions of a leader.
 const LEADER_TICK: Duration = Duration::from_millis(20);
 /// Longest time between two decisions of an entry that does not lead.
 const FOLLOWER_TICK: Duration = Duration::from_millis(100);
 
+/// Multiple of the time of a decision for which a leader pauses after it.
+const DECISION_PAUSE_FACTOR: u32 = 8;
+/// Longest such pause, which delays a start twice.
+const DECISION_PAUSE_MAX: Duration = Duration::from_millis(10);
+
 /// Rings and signals that connect the control thread to the others.
 pub struct Channels {
     /// Callers' requests.
@@ -107,6 +115,10 @@
         control.tick(wall(), now);
         let output = control.take_output();
         send(&mut channels, &mut backlog, output);
+        if control.is_leader() {
+            // Messages that arrive meanwhile share the next decision.
+            sleep(pause_after(clock().since(now))).await;
+        }
         if let Some(at) = stop_requested {
             if !closed && now >= at + channels.shutdown.close {
                 closed = true;
@@ -120,6 +132,12 @@
     }
 }
 
+/// Returns the pause of a leader after a decision that took `spent`. It bounds the processor time of decisions, which grows
+/// with the runners, the hosts and the waiting tasks, however many messages arrive.
+fn pause_after(spent: Duration) -> Duration {
+    (spent * DECISION_PAUSE_FACTOR).min(DECISION_PAUSE_MAX)
+}
+
 /// Adds the output to the backlog, and sends as much of it as the rings take.
 fn send(channels: &mut Channels, backlog: &mut Backlog, output: Output) {
     backlog.notices.extend(output.notices);
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -32,6 +32,8 @@
 use sassafrascrank_job::record;
 use std::sync::Arc;
 
+/// Time between two rounds of decisions on hosts, which go over all of them.
+const MANAGE_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two requests for the host list while an operation or a wave is going on.
 const LIST_INTERVAL_BUSY: Duration = Duration::from_millis(500);
 /// Time between two requests for the host list otherwise.
@@ -169,6 +171,10 @@
 
     /// Advances maintenance waves and moves hosts between pools.
     pub(super) fn manage_hosts(&mut self, now: Time) {
+        if now < self.fleet.managed_at + MANAGE_INTERVAL {
+            return;
+        }
+        self.fleet.managed_at = now;
         self.fleet.count_outstanding();
         if self.fleet.list_requested.is_none() && now >= self.fleet.next_list {
             self.fleet.list_requested = Some(now);
--- a/crates/schedule/src/fleet/fleet.rs
+++ b/crates/schedule/src/fleet/fleet.rs
@@ -39,6 +39,8 @@
     pub(crate) list_requested: Option<Time>,
     /// When the host list is requested next.
     pub(crate) next_list: Time,
+    /// When decisions on hosts were last made.
+    pub(crate) managed_at: Time,
     /// When the pools were last balanced.
     pub(crate) balanced_at: Time,
     /// Demand on the pools.
@@ -62,6 +64,7 @@
             lists: 0,
             list_requested: None,
             next_list: Time::MIN,
+            managed_at: Time::MIN,
             balanced_at: Time::MIN,
             demand: Demand::default(),
             rate,
--- a/crates/schedule/tests/engine/host.rs
+++ b/crates/schedule/tests/engine/host.rs
@@ -94,6 +94,7 @@
     harness
         .engine
         .add_wave(1, names, Duration::from_secs(20), 1, None, harness.time());
+    harness.now += Duration::from_millis(20);
     let orders = |harness: &mut Harness| {
         let now = harness.time();
         harness.engine.tick(Permission::Start, now, now);
