--- a/crates/control/src/control/membership.rs
+++ b/crates/control/src/control/membership.rs
@@ -161,9 +161,13 @@
         let leader = self.replica.leader();
         let silent = leader.map(|leader| &*leader.holder);
         let place = roster.rank(silent, now)?;
-        let spacing = roster.latency() * CLAIM_SPACING_FACTOR;
+        let settle = roster.latency(now).min(CLAIM_SPACING_MAX);
+        let spacing = settle * CLAIM_SPACING_FACTOR;
         let spacing = spacing.clamp(CLAIM_SPACING_MIN, CLAIM_SPACING_MAX);
-        Some(Rank::Known(spacing * place as u32))
+        Some(Rank::Known {
+            delay: spacing * place as u32,
+            settle,
+        })
     }
 
     fn begin_to_follow(&mut self, now: Time) {
@@ -230,6 +234,7 @@
         if route != self.membership.route {
             self.membership.route.clone_from(&route);
             let event = Event::new("route", now)
+                .low_priority()
                 .with("candidates", Value::Count(route.len() as u64))
                 .with(
                     "own",
--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -231,7 +231,7 @@
             Order::ListHosts => Report::Hosts(self.fleet.hosts().await),
             Order::Host(order) => {
                 let outcome = match &order.action {
-                    _ if sent > order.until => Outcome::Refused,
+                    _ if sent > order.until => Outcome::Unsent,
                     Action::Move(pool) => self.fleet.relocate(&order.name, pool, order.fence).await,
                     Action::Maintain(wave) => {
                         self.fleet.maintain(&order.name, *wave, order.fence).await
--- a/crates/lead/src/election/election.rs
+++ b/crates/lead/src/election/election.rs
@@ -35,8 +35,13 @@
 pub enum Rank {
     /// The entries don't know of each other. Delays by identity and capacity spread their claims.
     Unknown,
-    /// The entry claims this much later than the one that is suited best.
-    Known(Duration),
+    /// The entries agree on an order.
+    Known {
+        /// Time by which the entry claims later than the one that is suited best.
+        delay: Duration,
+        /// Time that the log takes to store a claim, which has to pass between the last read before a claim and the claim.
+        settle: Duration,
+    },
 }
 
 /// What an entry has to do about a claim.
@@ -206,7 +211,7 @@
                 self.due_since = Some(now);
                 return Claim::Refresh;
             }
-            Some(since) if now < since + self.timing.refresh_wait => return Claim::Wait,
+            Some(since) if now < since + self.refresh_wait(rank) => return Claim::Wait,
             Some(_) => self.due_since = None,
         }
         let round = self
@@ -288,12 +293,20 @@
         self.leading().is_some() && now >= self.confirmed_at + self.timing.heartbeat
     }
 
+    /// Returns the time between the last read that is requested before a claim and the claim.
+    fn refresh_wait(&self, rank: Rank) -> Duration {
+        match rank {
+            Rank::Unknown => self.timing.refresh_wait,
+            Rank::Known { settle, .. } => self.timing.refresh_wait.max(settle),
+        }
+    }
+
     /// Returns the time without a record of a leader after which this entry claims. `after_outage` tells whether the
     /// log was unavailable for longer than a lease.
     fn claim_delay(&self, rank: Rank, after_outage: bool) -> Duration {
         let wait = match rank {
             Rank::Unknown => self.stagger() + self.smaller_entry_delay(),
-            Rank::Known(wait) => wait,
+            Rank::Known { delay, .. } => delay,
         };
         match self.latest {
             _ if self.awaits_higher_epoch() => self.timing.election_timeout + wait,
--- a/crates/roster/src/roster/roster.rs
+++ b/crates/roster/src/roster/roster.rs
@@ -195,9 +195,12 @@
         )
     }
 
-    /// Returns the time that the log last took to store a record of this entry.
-    pub fn latency(&self) -> Duration {
-        self.latency
+    /// Returns the time that the log last took to store a record of this entry, or takes now if that is longer.
+    pub fn latency(&self, now: Time) -> Duration {
+        let present = self
+            .write
+            .map_or(Duration::ZERO, |write| now.since(write.sent));
+        self.latency.max(present)
     }
 
     /// Returns the addresses of the candidates in the order in which this entry passes requests on to them: those of its
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -469,7 +469,7 @@
             Outcome::Unknown => host.in_doubt = true,
             // The host may be away because of an earlier attempt. The host list shows that, or the next attempt is
             // answered as done.
-            Outcome::Busy | Outcome::Refused
+            Outcome::Busy | Outcome::Refused | Outcome::Unsent
                 if host.in_doubt && now < host.closed_since.unwrap_or(now) + DOUBT_LIMIT => {}
             _ => {
                 host.operation = None;
@@ -509,6 +509,7 @@
         Outcome::Rejected => "rejected",
         Outcome::Fenced => "fenced",
         Outcome::Refused => "refused",
+        Outcome::Unsent => "unsent",
         Outcome::Unknown => "unknown",
     }
 }
--- a/crates/schedule/src/fleet/host.rs
+++ b/crates/schedule/src/fleet/host.rs
@@ -55,6 +55,8 @@
     Fenced,
     /// The host service refuses because of too many orders; nothing was done.
     Refused,
+    /// The order was not sent, because no connection was free or its time was over; nothing was done.
+    Unsent,
     /// No answer arrived; the order may have been carried out.
     Unknown,
 }
