fix(control): pass a refusal of candidates on to the caller

Cause: an entry without a seat appended a submission itself once candidates had refused it. In a slow log, where candidates refuse because their appends wait, 130 entries then appended beside them, and all waited longer.

Change: the refusal of the last candidate is passed on with its Retry-After. The entry appends itself only if no candidate can be reached. A refusal after an attempt without an answer stays in doubt.

--- a/crates/control/src/front/exchange.rs
+++ b/crates/control/src/front/exchange.rs
@@ -245,7 +245,7 @@
             }
         };
         let until = started + caller_timeout(call);
-        let mut outcome = Outcome::NotDone;
+        let mut outcome = Outcome::NotSent;
         if origin == Origin::Caller && self.relay.is_active() {
             let passed = Passed {
                 method: head.method.clone(),
@@ -256,14 +256,18 @@
             };
             outcome = self.relay.pass(&passed).await;
         }
-        if let Outcome::Answered(response, by) = outcome {
-            return Answered {
-                response,
-                result: "relayed",
-                id,
-                by: Some(by),
-            };
-        }
+        let relayed = |response, result, by| Answered {
+            response,
+            result,
+            id,
+            by: Some(by),
+        };
+        let doubtful = match outcome {
+            Outcome::Answered(response, by) => return relayed(response, "relayed", by),
+            Outcome::Refused(response, by) => return relayed(response, "relay-refused", by),
+            Outcome::NotSent => false,
+            Outcome::Unknown => call.verb != Verb::Read,
+        };
         let query = match (call.verb, id) {
             (_, None) => Query::Pending(Arc::clone(&queue.name)),
             (Verb::Read, Some(id)) => Query::State(id),
@@ -276,7 +280,6 @@
             },
         };
         let reply = self.ask(query, until).await;
-        let doubtful = matches!(outcome, Outcome::Unknown) && call.verb != Verb::Read;
         let reply = match reply {
             // A candidate may have stored what this entry could not.
             Reply::Problem(Problem::Unavailable | Problem::Overloaded, _) if doubtful => {
--- a/crates/control/src/front/relay.rs
+++ b/crates/control/src/front/relay.rs
@@ -15,6 +15,7 @@
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_client::{
+    self as client,
     Failure,
     Limits,
     Message,
@@ -79,8 +80,10 @@
 pub(super) enum Outcome {
     /// A candidate has answered.
     Answered(Response<Full<Bytes>>, SocketAddr),
-    /// No candidate has done anything.
-    NotDone,
+    /// No candidate could be reached.
+    NotSent,
+    /// Candidates have refused the request. The log would refuse it here too, or is too slow for more appends.
+    Refused(Response<Full<Bytes>>, SocketAddr),
     /// A candidate may have carried out the request.
     Unknown,
 }
@@ -122,7 +125,7 @@
 
     /// Passes a request on to one candidate after the other until one has answered.
     pub(super) async fn pass(&self, request: &Passed) -> Outcome {
-        let mut outcome = Outcome::NotDone;
+        let mut outcome = Outcome::NotSent;
         for address in self.order() {
             let left = request.until.since(self.clock.now());
             if left.is_zero() {
@@ -139,24 +142,17 @@
             };
             match self.pool.call(address, message, limits).await {
                 Ok(response) => match response.status {
-                    // The candidate did nothing. It may not know yet of a queue that the caller named correctly.
-                    StatusCode::SERVICE_UNAVAILABLE
-                    | StatusCode::TOO_MANY_REQUESTS
-                    | StatusCode::NOT_FOUND => {}
+                    StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                        if !matches!(outcome, Outcome::Unknown) {
+                            outcome = Outcome::Refused(answer(response), address);
+                        }
+                    }
+                    // The candidate may not know yet of a queue that the caller named correctly.
+                    StatusCode::NOT_FOUND => {}
                     StatusCode::GATEWAY_TIMEOUT | StatusCode::BAD_GATEWAY => {
                         outcome = Outcome::Unknown;
                     }
-                    status => {
-                        let mut answer = Response::new(Full::new(response.body));
-                        *answer.status_mut() = status;
-                        let headers = response.headers.into_iter();
-                        let headers = headers.filter(|(name, _)| {
-                            let name = name.as_ref();
-                            name.is_none_or(|name| !CONNECTION_HEADERS.contains(name))
-                        });
-                        answer.headers_mut().extend(headers);
-                        return Outcome::Answered(answer, address);
-                    }
+                    _ => return Outcome::Answered(answer(response), address),
                 },
                 Err(failure) => {
                     let until = self.clock.now() + AVOID_TIME;
@@ -181,3 +177,15 @@
         candidates
     }
 }
+
+/// Returns the answer of a candidate for the caller.
+fn answer(response: client::Response) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(response.body));
+    *answer.status_mut() = response.status;
+    let headers = response.headers.into_iter().filter(|(name, _)| {
+        let name = name.as_ref();
+        name.is_none_or(|name| !CONNECTION_HEADERS.contains(name))
+    });
+    answer.headers_mut().extend(headers);
+    answer
+}
