feat(schedule): give runners and hosts of alike notes one log line

Cause: each host that was ordered and each runner that came or went had a line of its own. In a wave of the large site the leader left out 4,000 lines within 2 s.

Change: notes that differ only in the runner or the host share a line, up to 24 of them, as those on tasks did; place names them all.

Result: the test of alike notes, renamed, keeps its cases and shows two lost runners in one line.

--- a/crates/control/src/control/output.rs
+++ b/crates/control/src/control/output.rs
@@ -54,8 +54,8 @@
         let tasks: Vec<String> = group.subjects.iter().map(subject).collect();
         event = event.with("tasks", Value::Text(tasks.join(" ").into()));
     }
-    if let Some(place) = group.place {
-        event = event.with("place", Value::Text(place));
+    if !group.places.is_empty() {
+        event = event.with("place", Value::Text(group.places.join(" ").into()));
     }
     // A placement is followed by a start, which has a line of its own with the time since the placement.
     match group.kind {
--- a/crates/schedule/src/note/group.rs
+++ b/crates/schedule/src/note/group.rs
@@ -1,4 +1,4 @@
-//! Groups of notes that differ only in the task, so that they share a log line.
+//! Groups of notes that differ only in the task, the runner or the host, so that they share a log line.
 
 use super::{
     Kind,
@@ -14,8 +14,8 @@
     sync::Arc, //
 };
 
-/// Largest number of tasks in one group, which bounds the length of its log line.
-const TASK_LIMIT: usize = 24;
+/// Largest number of tasks, runners or hosts in one group, which bounds the length of its log line.
+const SUBJECT_LIMIT: usize = 24;
 
 /// An attempt of a task at a runner.
 #[derive(Clone, Debug)]
@@ -28,7 +28,7 @@
     pub place: Option<Arc<str>>,
 }
 
-/// Groups of notes that differ only in the task, so that they share a log line.
+/// Groups of notes that differ only in the task, the runner or the host, so that they share a log line.
 #[derive(Clone, Debug)]
 pub struct Group {
     /// Kind of the decision or event.
@@ -41,8 +41,8 @@
     pub job: Option<Id>,
     /// Tasks that it is about.
     pub subjects: Vec<Subject>,
-    /// Runner or host that it is about, unless it is about tasks.
-    pub place: Option<Arc<str>>,
+    /// Runners or hosts that it is about, unless it is about tasks.
+    pub places: Vec<Arc<str>>,
     /// Largest age of the notes.
     pub age: Duration,
 }
@@ -50,7 +50,7 @@
 impl Group {
     /// Returns the number of notes.
     pub fn count(&self) -> u64 {
-        self.subjects.len().max(1) as u64
+        self.subjects.len().max(self.places.len()).max(1) as u64
     }
 }
 
@@ -76,7 +76,7 @@
             at,
             reason,
             job,
-            place: place.filter(|_| subject.is_none()),
+            places: place.into_iter().filter(|_| subject.is_none()).collect(),
             subjects: subject.into_iter().collect(),
             age,
         }
@@ -89,13 +89,14 @@
     let mut index: HashMap<(Kind, &'static str, Option<Id>), usize> = HashMap::new();
     for note in notes {
         let key = (note.kind, note.reason, note.job);
-        let grouped = note.task.is_some();
+        let grouped = note.task.is_some() || note.place.is_some();
         let next = Group::from(note);
         let known = index.get(&key).filter(|_| grouped);
         let known = known.and_then(|&place| groups.get_mut(place));
-        if let Some(group) = known.filter(|group| group.subjects.len() < TASK_LIMIT) {
+        if let Some(group) = known.filter(|group| (group.count() as usize) < SUBJECT_LIMIT) {
             group.age = group.age.max(next.age);
             group.subjects.extend(next.subjects);
+            group.places.extend(next.places);
             continue;
         }
         if grouped {
--- a/crates/schedule/tests/engine/note.rs
+++ b/crates/schedule/tests/engine/note.rs
@@ -31,10 +31,10 @@
         .with_age(Duration::from_millis(u64::from(index)))
 }
 
-/// Guards against a log line for each task, most of which the log would drop under load, and against log lines of
-/// unbounded length.
+/// Guards against a log line for each task, runner or host, most of which the log would drop under load, and against log
+/// lines of unbounded length.
 #[test]
-fn notes_on_tasks_of_a_job_share_a_line() {
+fn notes_that_are_alike_share_a_line() {
     let mut notes: Vec<Note> = (0..30)
         .map(|index| note(Kind::Started, "answered", 1, index))
         .collect();
@@ -48,10 +48,10 @@
         let job = group.job.map_or(0, |job| job.0);
         let kind = group.kind.as_str();
         let count = group.count();
-        let (reason, age, place) = (group.reason, group.age, group.place);
+        let (reason, age, places) = (group.reason, group.age, group.places);
         writeln!(
             table,
-            "{kind} {reason} job {job}: {count}, age {age:?}, place {place:?}"
+            "{kind} {reason} job {job}: {count}, age {age:?}, places {places:?}"
         )
         .unwrap();
     }
