feat(control): log what an entry that reads the jobs has done

Cause: the design of the next part needs the age of the log at each entry, the wait of appends, and the work of the leader; nothing showed them.

Change: the line activity, every 2 s, with records read and appended, decisions and their time, appends and their time, orders and reports, and the age of the last read. The orders to hosts may come in larger bursts within the same rate: 45% of a second at once and 50% as a steady rate, in place of 12% and 75%.

--- /dev/null
+++ b/crates/control/src/control/activity.rs
@@ -0,0 +1,85 @@
+//! What the control thread of an entry that reads the jobs has done lately, for one log line every few seconds.
+
+use super::Control;
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_trace::{
+    Event,
+    Value, //
+};
+
+/// Time between two log lines.
+const INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// What the control thread has done since the last log line.
+#[derive(Debug, Default)]
+pub(super) struct Activity {
+    /// Since when.
+    since: Option<Time>,
+    decisions: u64,
+    decision_time: Duration,
+    /// Appends as the leader, their records, and the time until the log had answered.
+    appends: u64,
+    append_time: Duration,
+    append_time_max: Duration,
+    pub(super) records_appended: u64,
+    /// Records of the jobs that were read.
+    pub(super) records_read: u64,
+    pub(super) orders: u64,
+    pub(super) reports: u64,
+}
+
+impl Activity {
+    /// Counts an append of the leader that took `took`.
+    pub(super) fn count_append(&mut self, took: Duration) {
+        self.appends += 1;
+        self.append_time += took;
+        self.append_time_max = self.append_time_max.max(took);
+    }
+}
+
+impl Control {
+    /// Counts a round of decisions that took `spent`.
+    pub fn count_decision(&mut self, spent: Duration) {
+        self.activity.decisions += 1;
+        self.activity.decision_time += spent;
+    }
+
+    /// Writes the log line if it is due.
+    pub(super) fn report_activity(&mut self, now: Time) {
+        let since = *self.activity.since.get_or_insert(now);
+        if now < since + INTERVAL {
+            return;
+        }
+        let activity = core::mem::take(&mut self.activity);
+        self.activity.since = Some(now);
+        if activity.records_read == 0 && activity.records_appended == 0 {
+            return;
+        }
+        let mean = |total: Duration, count: u64| total / u32::try_from(count.max(1)).unwrap_or(1);
+        let event = Event::new("activity", now)
+            .with("age", Value::Duration(now.since(self.read_started)))
+            .with("read", Value::Count(activity.records_read));
+        let event = match &self.engine {
+            None => event,
+            Some(engine) => {
+                let (jobs, runs, ready) = engine.counts();
+                event
+                    .with("jobs", Value::Count(jobs as u64))
+                    .with("runs", Value::Count(runs as u64))
+                    .with("ready", Value::Count(ready as u64))
+                    .with("decisions", Value::Count(activity.decisions))
+                    .with("deciding", Value::Duration(activity.decision_time))
+                    .with("appends", Value::Count(activity.appends))
+                    .with("appended", Value::Count(activity.records_appended))
+                    .with(
+                        "append-mean",
+                        Value::Duration(mean(activity.append_time, activity.appends)),
+                    )
+                    .with("append-max", Value::Duration(activity.append_time_max))
+                    .with("orders", Value::Count(activity.orders))
+                    .with("reports", Value::Count(activity.reports))
+            }
+        };
+        self.out.events.push(event.low_priority());
+    }
+}
--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Output,
+    activity::Activity,
     calls::Calls,
     lead::Claim,
     membership::Membership, //
@@ -92,6 +93,8 @@
     pub(super) config: Option<Arc<Config>>,
     pub(super) waves: BTreeMap<u64, Wave>,
     pub(super) calls: Calls,
+    /// What this thread has done since its last log line about it.
+    pub(super) activity: Activity,
     /// Whether all jobs have been read once.
     pub(super) jobs_read: bool,
     /// When the last read of the jobs that reached the end of the log began. A later job may be missing from it, however
@@ -142,6 +145,7 @@
             config: None,
             waves: BTreeMap::new(),
             calls: Calls::default(),
+            activity: Activity::default(),
             jobs_read: false,
             read_started: Time::MIN,
             append_failed_at: None,
@@ -183,6 +187,7 @@
                 if !self.expects_jobs(complete) {
                     return;
                 }
+                self.activity.records_read += records.len() as u64;
                 self.apply_records(records, complete, now);
                 if last {
                     self.finish_read(started, now);
@@ -235,6 +240,7 @@
 
     /// Handles the report on an order. The engine drops reports on orders of an earlier lead.
     pub fn handle_report(&mut self, report: Envelope<Report>, now: Time) {
+        self.activity.reports += 1;
         if let Some(engine) = &mut self.engine {
             engine.report(report, now);
         }
@@ -247,6 +253,7 @@
         self.run_engine(wall, now);
         self.calls.expire(now);
         self.update_readiness(now);
+        self.report_activity(now);
     }
 
     fn apply_records(&mut self, records: Vec<(u64, Record)>, complete: bool, now: Time) {
--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -259,7 +259,9 @@
             self.lose_role("runner-fenced", now);
             return;
         }
-        for order in engine.take_orders() {
+        let orders = engine.take_orders();
+        self.activity.orders += orders.len() as u64;
+        for order in orders {
             match *order.content() {
                 Order::Announce { wave, done } => self
                     .out
@@ -306,6 +308,7 @@
         };
         self.append_pending = true;
         self.last_append = now;
+        self.activity.records_appended += records.len() as u64;
         self.out.requests.push(store::Request::Write(records));
     }
 
@@ -324,6 +327,7 @@
             self.lose_role("log-fenced", now);
             return;
         }
+        self.activity.count_append(now.since(started));
         let event = Event::new("append", now).with("took", Value::Duration(now.since(started)));
         self.out.events.push(event.metrics_only());
         if let Some(claim) = &mut self.claim
--- a/crates/control/src/control/mod.rs
+++ b/crates/control/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread, which applies the records of the log, takes part in the election, and schedules as the leader.
 
+mod activity;
 mod calls;
 mod control;
 mod lead;
--- a/crates/control/src/control/run.rs
+++ b/crates/control/src/control/run.rs
@@ -117,7 +117,9 @@
         send(&mut channels, &mut backlog, output);
         if control.is_leader() {
             // Messages that arrive meanwhile share the next decision.
-            sleep(pause_after(clock().since(now))).await;
+            let spent = clock().since(now);
+            control.count_decision(spent);
+            sleep(pause_after(spent)).await;
         }
         if let Some(at) = stop_requested {
             if !closed && now >= at + channels.shutdown.close {
--- a/crates/schedule/src/fleet/rate.rs
+++ b/crates/schedule/src/fleet/rate.rs
@@ -3,16 +3,13 @@
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_retry::Bucket;
 
-/// Percentage of the host service's rate that the leader uses. A new leader may order while orders of the former one are
-/// still on their way.
-const RATE_PERCENT: u32 = 75;
-/// Divisor of the rate, which yields the number of orders that may be sent at once. Together with [`RATE_PERCENT`] it keeps
-/// the orders of each second within the rate.
-const BURST_DIVISOR: u32 = 8;
-/// Divisor of the rate, which yields the number of hosts whose orders may be outstanding. These are the orders of half a
-/// second, so that a host is not closed long before its order is sent.
-const OUTSTANDING_DIVISOR: u32 = 2;
-/// Smallest number of hosts whose orders may be outstanding, at rates that are too low for the divisor.
+/// Percentage of the host service's rate at which orders go on. Together with [`BURST_PERCENT`] it keeps the orders of each
+/// second within the rate.
+const RATE_PERCENT: u32 = 50;
+/// Percentage of the orders of a second that may be sent at once. Demand moves from one pool to another within moments,
+/// and many hosts with it.
+const BURST_PERCENT: u32 = 45;
+/// Smallest number of hosts whose orders may be outstanding at very low rates.
 const MIN_OUTSTANDING: u32 = 4;
 
 /// What an order to a host is worth, from the most urgent on.
@@ -49,10 +46,10 @@
     /// Creates a limit of `per_second` orders, or none.
     pub fn new(per_second: Option<u32>, now: Time) -> Self {
         let rate = per_second.unwrap_or_default();
-        let sustained = (rate.saturating_mul(RATE_PERCENT) / 100).max(1);
+        let part = |percent: u32| (rate.saturating_mul(percent) / 100).max(1);
         Self {
             per_second,
-            bucket: Bucket::new(now, sustained, (rate / BURST_DIVISOR).max(1)),
+            bucket: Bucket::new(now, part(RATE_PERCENT), part(BURST_PERCENT)),
         }
     }
 
@@ -66,7 +63,8 @@
         let Some(rate) = self.per_second else {
             return true;
         };
-        let limit = (rate / OUTSTANDING_DIVISOR).max(MIN_OUTSTANDING);
+        // These are the orders of two seconds at most, so that a host is not closed long before its order is sent.
+        let limit = rate.max(MIN_OUTSTANDING);
         let share = (limit * urgency.share_percent() / 100).max(1);
         outstanding < share as usize
     }
