feat(roster): four seats a zone, and none for much smaller entries

Cause: with three seats in a zone one of eight equal entries of a small site had none, and its callers' requests took another hop. On a large site a fourth seat would go to an entry with an eighth of a core and 20 Mbit/s, which reading all jobs would fill.

Change: four seats in each zone; an entry takes or keeps none while its zone has two candidates with twice its processor or more.

--- a/crates/control/src/store/message.rs
+++ b/crates/control/src/store/message.rs
@@ -50,8 +50,8 @@
     WriteSeat {
         /// The seat.
         key: seat::Key,
-        /// Its holder.
-        candidate: Candidate,
+        /// Its holder; `None` if this entry gives it up.
+        candidate: Option<Candidate>,
     },
     /// Publishes the state of a wave for operators.
     Announce {
--- a/crates/control/src/store/store.rs
+++ b/crates/control/src/store/store.rs
@@ -222,8 +222,13 @@
 }
 
 /// Writes the record of a seat, and reports the result. A record without an answer counts as stored: it is read if it is.
-async fn write_seat<L: Log>(mut log: L, key: seat::Key, candidate: Candidate, events: EventSender) {
-    let (key, value) = seat::encode(&key, &candidate);
+async fn write_seat<L: Log>(
+    mut log: L,
+    key: seat::Key,
+    candidate: Option<Candidate>,
+    events: EventSender,
+) {
+    let (key, value) = seat::encode(&key, candidate.as_ref());
     let result = log.write_seat(&key, &value).await;
     let stored = !matches!(result, Err(AppendError::Refused(_)));
     events.send(Event::SeatWritten { stored }).await;
--- a/crates/roster/src/roster/roster.rs
+++ b/crates/roster/src/roster/roster.rs
@@ -17,6 +17,9 @@
 
 /// Multiple of the capacity of a holder with which another entry takes its seat.
 const REPLACE_RATIO: u32 = 2;
+/// Number of much larger candidates in a zone with which a smaller entry leaves the other seats vacant. Reading all jobs
+/// would take most of its link and its processor.
+const SUFFICIENT_LARGER: usize = 2;
 /// Capacity of a whole core in thousandths of a core.
 const WHOLE_CORE: u32 = 1_000;
 
@@ -25,8 +28,8 @@
 pub enum Action {
     /// Nothing.
     Wait,
-    /// Write this record, to take a seat or to keep it.
-    Write(Key, Candidate),
+    /// Write this record, to take a seat or to keep it; without a candidate, to give it up.
+    Write(Key, Option<Candidate>),
 }
 
 /// A seat with its holder.
@@ -137,6 +140,10 @@
         let changed = self.own.leads != leads;
         self.own.leads = leads;
         let due = match self.own_seat(now) {
+            Some(key) if self.has_larger_candidates(now) => {
+                self.write = Some(Write { sent: now });
+                return Action::Write(key, None);
+            }
             Some(key) => {
                 let due = changed || now >= self.written_at + self.timing.renewal;
                 due.then_some(key)
@@ -149,7 +156,7 @@
         self.wanted_since = None;
         self.write = Some(Write { sent: now });
         self.written_at = now;
-        Action::Write(key, self.own.clone())
+        Action::Write(key, Some(self.own.clone()))
     }
 
     /// Handles the result of the write of a record.
@@ -204,7 +211,7 @@
     }
 
     /// Returns the addresses of the candidates in the order in which this entry passes requests on to them: those of its
-    /// own availability zone first, and the leader last in each zone.
+    /// own availability zone first, the larger ones of each zone first, and the leader last in each zone.
     pub fn route(&self, now: Time) -> Vec<SocketAddr> {
         let mut zones: Vec<&Arc<str>> = self.seats.keys().map(|key| &key.zone).collect();
         zones.dedup();
@@ -220,7 +227,8 @@
         let mut rows: Vec<_> = others
             .map(|(key, seat)| {
                 let candidate = &seat.candidate;
-                let order = (place(&key.zone), candidate.leads, key.number);
+                let capacity = Reverse(candidate.capacity);
+                let order = (place(&key.zone), candidate.leads, capacity, key.number);
                 (order, candidate.address)
             })
             .collect();
@@ -276,9 +284,21 @@
         seats.next().map(|(key, _)| key.clone())
     }
 
+    /// Tells whether the zone of this entry has enough candidates that are much larger.
+    fn has_larger_candidates(&self, now: Time) -> bool {
+        let limit = self.own.capacity.saturating_mul(REPLACE_RATIO);
+        let larger = |(key, seat): &(&Key, &Seat)| {
+            key.zone == self.zone && limit > 0 && seat.candidate.capacity >= limit
+        };
+        self.live(now).filter(larger).count() >= SUFFICIENT_LARGER
+    }
+
     /// Returns the seat that this entry takes now, if any.
     fn seat_to_take(&mut self, now: Time) -> Option<Key> {
         let reading_since = self.reading_since?;
+        if self.has_larger_candidates(now) {
+            return None;
+        }
         // A seat of an earlier incarnation is this entry's own.
         let former = |(_, seat): &(&Key, &Seat)| seat.candidate.name == self.own.name;
         if let Some((key, _)) = self.seats.iter().find(former) {
--- a/crates/roster/src/roster/timing.rs
+++ b/crates/roster/src/roster/timing.rs
@@ -5,7 +5,8 @@
 /// Number of seats, and the durations that decide who holds them; they have to be the same at all entries.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// Seats in each availability zone. With three, a zone keeps a candidate when one is replaced and another is lost.
+    /// Seats in each availability zone. With four, all entries of a small deployment are candidates, and a large zone keeps
+    /// two when one is replaced and another is lost.
     pub seats_per_zone: u8,
     /// Time between two records of a holder.
     pub renewal: Duration,
@@ -28,7 +29,7 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            seats_per_zone: 3,
+            seats_per_zone: 4,
             renewal: Duration::from_millis(1_500),
             lifetime: Duration::from_millis(5_000),
             max_read_age: Duration::from_millis(2_500),
--- a/crates/roster/src/seat/wire.rs
+++ b/crates/roster/src/seat/wire.rs
@@ -41,10 +41,11 @@
     executor: String,
 }
 
-/// Returns the key and the value of the record of a seat.
-pub fn encode(key: &Key, candidate: &Candidate) -> (String, Vec<u8>) {
+/// Returns the key and the value of the record of a seat, which removes the holder if there is none.
+pub fn encode(key: &Key, candidate: Option<&Candidate>) -> (String, Vec<u8>) {
     // Encoding into memory fails only for types that MessagePack cannot represent, and this is none.
-    let value = rmp_serde::to_vec(&Wire::from(candidate)).unwrap_or_default();
+    let encode = |candidate| rmp_serde::to_vec(&Wire::from(candidate)).unwrap_or_default();
+    let value = candidate.map(encode).unwrap_or_default();
     (format!("{PREFIX}{}/{}", key.zone, key.number), value)
 }
 
