perf(schedule): take scans of runs, racks and pools out of the leader's decisions

The choice of a runner went over all runs of each runner; that for a long-running task counted the tasks of its step in the rack of each; each host of a wave went over all runners of its pool; each change of a tier sorted all waiting tasks anew; each search for slow runners went over all runs.

Change: a runner counts its runs by property, with one method to add and one to remove a run; racks and unusable runners are counted once for a choice and for a wave; only occurrences whose tier changed are sorted again; a search looks at 200 runners at a time.

--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -215,11 +215,11 @@
             return;
         }
         self.tiers_updated = now;
-        let mut changed = false;
-        for active in self.jobs.values_mut() {
+        let mut changed = Vec::new();
+        for (key, active) in &self.jobs {
             let queue = &self.queues[active.queue];
             let job = Arc::clone(&active.job);
-            for occurrence in &mut active.occurrences {
+            for occurrence in &active.occurrences {
                 let left = remaining_estimate(&job, occurrence);
                 let objective = deadline(&job, queue.stretch, queue.target, occurrence.due);
                 let span = objective.since(occurrence.due);
@@ -230,12 +230,39 @@
                     end if end <= overdue_after => Tier::Late,
                     _ => Tier::Overdue,
                 };
-                changed |= tier != occurrence.tier;
+                if tier != occurrence.tier {
+                    changed.push((key, occurrence.number, tier));
+                }
+            }
+        }
+        for (key, number, tier) in changed {
+            self.unrank_occurrence(key, number);
+            if let Some(occurrence) = self.jobs[key].occurrence_mut(number) {
                 occurrence.tier = tier;
             }
+            self.rank_occurrence(key, number);
+        }
+    }
+
+    /// Removes the ready tasks of an occurrence from the waiting tasks of their pool.
+    fn unrank_occurrence(&mut self, key: job::Key, number: u32) {
+        let Some(active) = self.jobs.get(key) else {
+            return;
+        };
+        let pool = self.queues[active.queue].pool;
+        let mut ranks = Vec::new();
+        for (step, spec) in active.job.steps.iter().enumerate() {
+            let task = |index| TaskKey {
+                job_key: key,
+                occurrence: number,
+                step: step as u16,
+                index,
+            };
+            ranks.extend((0..spec.count).filter_map(|index| self.rank(task(index))));
         }
-        if changed {
-            self.rank_all();
+        let ready = &mut self.pools[pool].ready;
+        for rank in ranks {
+            ready.remove(&rank);
         }
     }
 
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -93,6 +93,8 @@
     pub(super) tiers_updated: Time,
     /// When slow runners were last searched for.
     pub(super) stragglers_checked: Time,
+    /// Number of the last search among those that together cover all runners.
+    pub(super) straggler_round: usize,
     /// Whether a runner or the host service rejected an order because of a later leader.
     pub(super) superseded: bool,
 }
@@ -123,6 +125,7 @@
             notes: Vec::new(),
             tiers_updated: now,
             stragglers_checked: now,
+            straggler_round: 0,
             superseded: false,
         };
         engine.configure(config);
--- a/crates/schedule/src/engine/evict.rs
+++ b/crates/schedule/src/engine/evict.rs
@@ -24,7 +24,10 @@
     /// allow.
     pub(super) fn evict(&mut self, now: Time) {
         let leaving = |runner: &Runner| runner.closing || runner.leaves_at.is_some();
-        let keys = self.runners.iter().filter(|(_, runner)| leaving(runner));
+        let keys = self
+            .runners
+            .iter()
+            .filter(|(_, runner)| runner.long_running > 0 && leaving(runner));
         let keys: Vec<runner::Key> = keys.map(|(key, _)| key).collect();
         for key in keys {
             for run in self.runners[key].runs.clone() {
@@ -123,13 +126,4 @@
             !long_running || self.is_within_budget(run, now)
         })
     }
-
-    /// Returns whether a runner has long-running tasks.
-    pub(super) fn has_long_running(&self, key: runner::Key) -> bool {
-        let mut runs = self.runners[key].runs.iter();
-        runs.any(|&run| {
-            self.step_spec(self.runs[run].task)
-                .is_some_and(|step| step.long_running)
-        })
-    }
 }
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -30,7 +30,10 @@
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::record;
-use std::sync::Arc;
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
 
 /// Time between two rounds of decisions on hosts, which go over all of them.
 const MANAGE_INTERVAL: Duration = Duration::from_millis(20);
@@ -282,12 +285,16 @@
         }
         let closed = |key: &&host::Key| self.fleet.hosts[**key].closed_since.is_some();
         room = room.saturating_sub(keys.iter().filter(closed).count());
+        let mut unusable = self.unusable_by_pool(now);
         for key in keys {
             if room == 0 {
                 return;
             }
-            if self.is_closable(key, urgent, now) {
+            let pool = self.fleet.hosts[key].pool;
+            let count = unusable.entry(pool).or_default();
+            if self.is_closable(key, urgent, *count, now) {
                 room -= 1;
+                *count += 1;
                 self.fleet.hosts[key].closed_since = Some(now);
                 self.set_closing(key, true);
             }
@@ -320,23 +327,30 @@
         self.rules.host_lease + CLOCK_MARGIN
     }
 
-    /// Returns whether a host may be closed to new tasks so that it becomes empty.
-    fn is_closable(&self, key: host::Key, urgent: bool, now: Time) -> bool {
+    /// Returns the number of runners of each pool that accept no tasks.
+    fn unusable_by_pool(&self, now: Time) -> HashMap<key::Pool, usize> {
+        let pools = self.pools.iter().map(|(key, pool)| {
+            let runners = pool.runners.iter().map(|&runner| &self.runners[runner]);
+            let unusable = runners.filter(|runner| !runner.accepts_tasks(now));
+            (key, unusable.count())
+        });
+        pools.collect()
+    }
+
+    /// Returns whether a host may be closed to new tasks so that it becomes empty. `unusable` is the number of runners of
+    /// its pool that accept none.
+    fn is_closable(&self, key: host::Key, urgent: bool, unusable: usize, now: Time) -> bool {
         let host = &self.fleet.hosts[key];
         let Some(runner) = self.runner_of(host) else {
             return false;
         };
         let pool = &self.pools[host.pool];
-        let closed = pool
-            .runners
-            .iter()
-            .filter(|&&key| !self.runners[key].accepts_tasks(now));
         let limit = (pool.runners.len() / CLOSE_DIVISOR).max(1);
         host.listed.state == State::Up
             && host.operation.is_none()
             && host.closed_since.is_none()
             && now >= host.retry_at
-            && (urgent || closed.count() < limit)
+            && (urgent || unusable < limit)
             && (urgent || pool.ready.is_empty())
             && self.can_be_emptied(runner, now)
     }
--- a/crates/schedule/src/engine/pace.rs
+++ b/crates/schedule/src/engine/pace.rs
@@ -35,8 +35,7 @@
     pub(super) fn pace(&mut self, now: Time) {
         let keys: Vec<runner::Key> = self.runners.keys().collect();
         for key in keys {
-            if !self.runners[key].runs.is_empty()
-                && self.has_background_run(key)
+            if self.runners[key].background > 0
                 && let Some(latency_percent) = self.worst_latency_percent(key)
             {
                 self.pace_runner(key, latency_percent, now);
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -17,6 +17,7 @@
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::Step;
+use std::collections::HashMap;
 
 /// Number of steps without a runner after which a round of placement ends. It bounds the time of a round while many
 /// jobs wait.
@@ -159,6 +160,7 @@
                 && self.may_share(runner, crashes, now)
                 && (!queue.advised || self.ticket(step, key, now).is_some())
         };
+        let racks = self.count_by_rack(step, spec);
         let candidates = self.pools[queue.pool].runners.iter();
         let mut best: Option<(Score, runner::Key)> = None;
         for &key in candidates {
@@ -166,7 +168,7 @@
             if !suits(key, runner) {
                 continue;
             }
-            let mut score = self.score(step, spec, key, crashes, now);
+            let mut score = self.score(spec, &racks, key, crashes, now);
             if avoid == Some(key) {
                 score.failures += 1;
             }
@@ -177,26 +179,29 @@
         best.map(|(_, key)| key)
     }
 
-    fn score(&self, step: StepKey, spec: &Step, key: runner::Key, crashes: u8, now: Time) -> Score {
+    fn score(
+        &self,
+        spec: &Step,
+        racks: &HashMap<&str, usize>,
+        key: runner::Key,
+        crashes: u8,
+        now: Time,
+    ) -> Score {
         let runner = &self.runners[key];
         let other_rack = spec
             .data_rack
             .as_ref()
             .is_some_and(|rack| *runner.rack != **rack);
-        let disturbs = (spec.uses_spare_cpu && self.has_serving_run(key))
-            || (spec.target.is_some() && self.has_background_run(key));
+        let disturbs = (spec.uses_spare_cpu && runner.serving > 0)
+            || (spec.target.is_some() && runner.background > 0);
         let mut required = spec.label.iter().chain(&spec.data_rack);
-        let together = match spec.long_running {
-            true => self.count_in_rack(step, &runner.rack),
-            false => 0,
-        };
         Score {
             exposed: self.exposed(runner, crashes, now),
             unsuited: u8::from(other_rack) + u8::from(disturbs),
             failures: runner.failures,
             labels_scarce: runner.labels_scarce && !required.any(|label| runner.has_label(label)),
-            movable: !self.has_long_running(key),
-            together,
+            movable: runner.long_running == 0,
+            together: racks.get(&*runner.rack).copied().unwrap_or_default(),
             free: 1.0 - runner.capacity.share(runner.used),
         }
     }
@@ -208,34 +213,22 @@
             .count()
     }
 
-    /// Returns the number of a step's runs in a rack.
-    fn count_in_rack(&self, step: StepKey, rack: &str) -> usize {
+    /// Returns the number of a long-running step's runs in each rack.
+    fn count_by_rack(&self, step: StepKey, spec: &Step) -> HashMap<&str, usize> {
         let active = &self.jobs[step.job_key];
-        let Some(occurrence) = active.occurrence(step.occurrence) else {
-            return 0;
+        let mut counts = HashMap::new();
+        let Some(occurrence) = active
+            .occurrence(step.occurrence)
+            .filter(|_| spec.long_running)
+        else {
+            return counts;
         };
         let tasks = occurrence.tasks(&active.job, step.step).iter();
         let runners = tasks.flat_map(|task| &task.runs);
-        let runners = runners.filter_map(|&run| self.runners.get(self.runs[run].runner));
-        runners.filter(|runner| *runner.rack == *rack).count()
-    }
-
-    /// Returns whether a serving task, which has a target for its latency, runs on a runner.
-    pub(super) fn has_serving_run(&self, key: runner::Key) -> bool {
-        let mut runs = self.runners[key].runs.iter();
-        runs.any(|&run| {
-            self.step_spec(self.runs[run].task)
-                .is_some_and(|step| step.target.is_some())
-        })
-    }
-
-    /// Returns whether a background task runs on a runner.
-    pub(super) fn has_background_run(&self, key: runner::Key) -> bool {
-        let mut runs = self.runners[key].runs.iter();
-        runs.any(|&run| {
-            self.step_spec(self.runs[run].task)
-                .is_some_and(|step| step.uses_spare_cpu)
-        })
+        for runner in runners.filter_map(|&run| self.runners.get(self.runs[run].runner)) {
+            *counts.entry(&*runner.rack).or_default() += 1;
+        }
+        counts
     }
 
     /// Returns the specification of a task's step.
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -119,7 +119,8 @@
         let active = &mut self.jobs[task.job_key];
         let state = active.task(task.occurrence, task.step, task.index);
         let crashes = state.map_or(0, |state| state.crashes);
-        let need = active.job.steps[usize::from(task.step)].reserved();
+        let step = &active.job.steps[usize::from(task.step)];
+        let (need, traits) = (step.reserved(), run::Traits::from(step));
         let task_id = super::run::task_id(active.job.id, task);
         let run = self.runs.insert(Run {
             task,
@@ -130,6 +131,7 @@
             moved,
             alive_at: Time::MIN,
             need,
+            traits,
             stage: Stage::Inherited,
             crashes,
             planned: now,
@@ -152,7 +154,7 @@
                 state.state = State::Active;
             }
         }
-        self.occupy(run, runner, need, now);
+        self.occupy(run, runner, now);
     }
 
     /// Returns the runner of an assignment, which is added if neither that incarnation nor a later one is in the service
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -25,10 +25,7 @@
     runner,
 };
 use sassafrascrank_base::prelude::*;
-use sassafrascrank_job::{
-    Resource,
-    id, //
-};
+use sassafrascrank_job::id;
 use std::sync::Arc;
 
 impl Engine {
@@ -45,6 +42,7 @@
         let active = &mut self.jobs[task.job_key];
         let step = &active.job.steps[usize::from(task.step)];
         let need = step.reserved();
+        let traits = run::Traits::from(step);
         let task_id = task_id(active.job.id, task);
         let Some(state) = active.task_mut(task.occurrence, task.step, task.index) else {
             return;
@@ -61,6 +59,7 @@
             moved: false,
             alive_at: Time::MIN,
             need,
+            traits,
             stage: Stage::Planned,
             crashes,
             planned: now,
@@ -78,7 +77,7 @@
             pace_ordered_at: Time::MIN,
         });
         state.runs.push(key);
-        self.occupy(key, runner, need, now);
+        self.occupy(key, runner, now);
         self.mark_dirty(task.job_key);
         self.effects.push(Effect::Start(key));
         let run = self.runs[key].clone();
@@ -86,12 +85,9 @@
     }
 
     /// Adds a run to its runner and takes its resources.
-    pub(super) fn occupy(&mut self, run: run::Key, runner: runner::Key, need: Resource, now: Time) {
-        let suspected = self.runs[run].crashes > 0;
+    pub(super) fn occupy(&mut self, key: run::Key, runner: runner::Key, now: Time) {
         let runner = &mut self.runners[runner];
-        runner.used += need;
-        runner.suspects += usize::from(suspected);
-        runner.runs.push(run);
+        runner.add_run(key, &self.runs[key]);
         runner.last_busy = now;
     }
 
@@ -233,9 +229,7 @@
     pub(super) fn detach(&mut self, key: run::Key) -> Option<Run> {
         let run = self.runs.remove(key)?;
         if let Some(runner) = self.runners.get_mut(run.runner) {
-            runner.used -= run.need;
-            runner.suspects -= usize::from(run.crashes > 0);
-            runner.runs.retain(|&other| other != key);
+            runner.remove_run(key, &run);
         }
         let TaskKey {
             job_key,
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -151,13 +151,9 @@
                 run.answered_at = None;
                 run.stop_ordered_at = None;
             }
-            let (need, job_key) = (run.need, run.task.job_key);
-            let suspected = run.crashes > 0;
-            let former = &mut self.runners[from];
-            former.used -= need;
-            former.suspects -= usize::from(suspected);
-            former.runs.retain(|&other| other != key);
-            self.occupy(key, to, need, now);
+            let job_key = run.task.job_key;
+            self.runners[from].remove_run(key, &self.runs[key]);
+            self.occupy(key, to, now);
             self.mark_dirty(job_key);
             let later = &mut self.runners[to];
             later.runs_until = later.runs_until.max(until);
--- a/crates/schedule/src/engine/straggler.rs
+++ b/crates/schedule/src/engine/straggler.rs
@@ -25,6 +25,9 @@
 
 /// Time between two searches for slow runners.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of runners that are searched at once. With many runners, each is looked at less often, so that the time of a
+/// search stays the same.
+const CHECKED_AT_ONCE: usize = 200;
 /// Shortest time between two reports of a run from which its duration is projected.
 const MIN_SPAN: Duration = Duration::from_millis(150);
 /// Shortest time without progress after which a run counts as standing still.
@@ -146,7 +149,12 @@
             return;
         }
         self.stragglers_checked = now;
-        let keys: Vec<runner::Key> = self.runners.keys().collect();
+        let rounds = self.runners.len().div_ceil(CHECKED_AT_ONCE).max(1);
+        self.straggler_round = (self.straggler_round + 1) % rounds;
+        let round = self.straggler_round;
+        let keys = self.runners.keys().enumerate();
+        let keys = keys.filter(|(index, _)| index % rounds == round);
+        let keys: Vec<runner::Key> = keys.map(|(_, key)| key).collect();
         for key in keys {
             let speeds = self.speeds(key);
             if let Some(cause) = self.slow_cause(&speeds) {
--- a/crates/schedule/src/job/run.rs
+++ b/crates/schedule/src/job/run.rs
@@ -5,6 +5,7 @@
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
     Resource,
+    Step,
     id, //
 };
 use std::sync::Arc;
@@ -48,6 +49,8 @@
     pub alive_at: Time,
     /// Resources that it takes of the runner's capacity.
     pub need: Resource,
+    /// Properties of its task.
+    pub traits: Traits,
     /// Stage of its life cycle.
     pub stage: Stage,
     /// Number of runners that its task may have crashed before.
@@ -81,6 +84,27 @@
     pub pace_ordered_at: Time,
 }
 
+/// Properties of a task that matter for other tasks on its runner.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Traits {
+    /// The task runs until its job is cancelled.
+    pub long_running: bool,
+    /// The task has a target for its latency.
+    pub serving: bool,
+    /// The task uses the capacity that others leave.
+    pub background: bool,
+}
+
+impl From<&Step> for Traits {
+    fn from(step: &Step) -> Self {
+        Self {
+            long_running: step.long_running,
+            serving: step.target.is_some(),
+            background: step.uses_spare_cpu,
+        }
+    }
+}
+
 /// Doubt about a start that was not answered: it may have been carried out, or may be until it expires.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Doubt {
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -3,7 +3,10 @@
 use super::Listed;
 use crate::{
     Rules,
-    job::run,
+    job::{
+        Run,
+        run, //
+    },
     lease::ClockSample,
     queue::key, //
 };
@@ -44,6 +47,12 @@
     pub runs: Vec<run::Key>,
     /// Number of these runs whose tasks may have crashed other runners.
     pub suspects: usize,
+    /// Number of long-running tasks among them.
+    pub long_running: usize,
+    /// Number of tasks among them that have a target for their latency.
+    pub serving: usize,
+    /// Number of tasks among them that use the capacity that others leave.
+    pub background: usize,
     /// Whether the service list has the runner.
     pub listed: bool,
     /// Earliest time at which the runner leaves; `None` unless it drains.
@@ -138,6 +147,9 @@
             used: Resource::default(),
             runs: Vec::new(),
             suspects: 0,
+            long_running: 0,
+            serving: 0,
+            background: 0,
             listed: false,
             leaves_at: None,
             labels_scarce: false,
@@ -172,6 +184,34 @@
             && now >= self.quarantined_until
     }
 
+    /// Adds a run, and takes its resources.
+    pub fn add_run(&mut self, key: run::Key, run: &Run) {
+        self.used += run.need;
+        self.runs.push(key);
+        for (count, counted) in self.counts(run) {
+            *count += usize::from(counted);
+        }
+    }
+
+    /// Removes a run, and returns its resources.
+    pub fn remove_run(&mut self, key: run::Key, run: &Run) {
+        self.used -= run.need;
+        self.runs.retain(|&other| other != key);
+        for (count, counted) in self.counts(run) {
+            *count -= usize::from(counted);
+        }
+    }
+
+    /// Returns the numbers of runs of each property, and whether the run has it.
+    fn counts(&mut self, run: &Run) -> [(&mut usize, bool); 4] {
+        [
+            (&mut self.suspects, run.crashes > 0),
+            (&mut self.long_running, run.traits.long_running),
+            (&mut self.serving, run.traits.serving),
+            (&mut self.background, run.traits.background),
+        ]
+    }
+
     /// Returns whether a task fits into the free capacity.
     pub fn fits(&self, need: Resource) -> bool {
         self.capacity.fits(self.used, need)
