--- a/crates/control/src/drive/delegate.rs
+++ b/crates/control/src/drive/delegate.rs
@@ -7,8 +7,7 @@
         Command,
         Outcome,
         Results,
-        failure,
-        micros, //
+        failure, //
     },
 };
 use crate::clock::Clock;
@@ -197,7 +196,7 @@
             }
             sleep(ORDER_DELAY).await;
             let batch = Batch {
-                sent: micros(self.clock.now()),
+                sent: self.clock.now().as_micros(),
                 orders: self.queue.take(),
                 closed: self.closed.take(),
             };
--- a/crates/control/src/drive/wire.rs
+++ b/crates/control/src/drive/wire.rs
@@ -2,7 +2,6 @@
 //! format.
 
 use core::net::SocketAddr;
-use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
     Id,
     id::{
@@ -276,8 +275,3 @@
         })
     }
 }
-
-/// Returns a time in microseconds, as [`Batch::sent`] has it.
-pub(super) fn micros(time: Time) -> u64 {
-    time.as_micros()
-}
--- a/crates/control/tests/executor.rs
+++ b/crates/control/tests/executor.rs
@@ -296,6 +296,23 @@
     polls.collect()
 }
 
+/// Lets the leader poll all runners, waits for the reports, and returns their number.
+async fn poll_all(leader: &mut Entry) -> usize {
+    let polls = polls();
+    let (count, mut reports) = (polls.len(), 0);
+    for poll in polls {
+        assert!(leader.requests.send(Request::Order(poll)).is_ok());
+    }
+    wait_until("the polls are reported", || {
+        while leader.reports.try_recv().is_some() {
+            reports += 1;
+        }
+        reports == count
+    })
+    .await;
+    count
+}
+
 async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let began = std::time::Instant::now();
     while !condition() {
@@ -314,50 +331,19 @@
         let delegate = Request::Delegate(vec![executor.executor.clone()]);
         assert!(leader.requests.send(delegate).is_ok());
         // Until the connection is open, the leader calls runners itself.
-        let mut reports = 0;
         let mut sent = 0;
         while count(&executor.polled) == 0 {
-            for poll in polls() {
-                assert!(leader.requests.send(Request::Order(poll)).is_ok());
-                sent += 1;
-            }
-            wait_until("the polls are reported", || {
-                while leader.reports.try_recv().is_some() {
-                    reports += 1;
-                }
-                reports == sent
-            })
-            .await;
+            sent += poll_all(&mut leader).await;
         }
         let own = count(&leader.polled);
-        for poll in polls() {
-            assert!(leader.requests.send(Request::Order(poll)).is_ok());
-            sent += 1;
-        }
-        wait_until("the polls are reported", || {
-            while leader.reports.try_recv().is_some() {
-                reports += 1;
-            }
-            reports == sent
-        })
-        .await;
+        sent += poll_all(&mut leader).await;
         assert_eq!(
             count(&leader.polled),
             own,
             "the leader polls beside its executor"
         );
         executor.end.send(()).expect("the executor runs");
-        for poll in polls() {
-            assert!(leader.requests.send(Request::Order(poll)).is_ok());
-            sent += 1;
-        }
-        wait_until("the polls are reported after the end", || {
-            while leader.reports.try_recv().is_some() {
-                reports += 1;
-            }
-            reports == sent
-        })
-        .await;
+        sent += poll_all(&mut leader).await;
         let total = count(&leader.polled) + count(&executor.polled);
         assert!(total >= sent, "{total} of {sent} polls were carried out");
     });
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -20,6 +20,7 @@
 mod store;
 mod straggler;
 mod tick;
+mod wave;
 
 pub use engine::{
     Engine,
