--- a/crates/control/tests/executor.rs
+++ b/crates/control/tests/executor.rs
@@ -75,6 +75,10 @@
     },
 };
 use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
     runtime::Builder,
     sync::oneshot,
     task::LocalSet,
@@ -355,10 +359,6 @@
 fn malformed_message_ends_only_its_connection() {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        use tokio::io::{
-            AsyncReadExt,
-            AsyncWriteExt, //
-        };
         let (mut leader, executor) = (entry(), entry());
         let messages: [&[u8]; 3] = [
             &[0xff, 0xff, 0xff, 0xff, 1, 2, 3],
@@ -390,3 +390,54 @@
         .await;
     });
 }
+
+/// An order as a leader sends it.
+#[derive(serde::Serialize)]
+enum Action {
+    Poll {
+        until: Option<u64>,
+        acknowledged: u64,
+        wait_ms: u64,
+    },
+}
+
+/// Sends a batch with one poll, which was sent at `sent` by the leader's clock, and waits for its result.
+async fn poll_raw(stream: &mut tokio::net::TcpStream, number: u64, sent: u64) {
+    let action = Action::Poll {
+        until: None,
+        acknowledged: 0,
+        wait_ms: 0,
+    };
+    let address: SocketAddr = ([127, 0, 0, 1], 1).into();
+    let order = (number, (format!("r{number}"), address, 3_u64, action));
+    let batch = (sent, vec![order], Vec::<SocketAddr>::new());
+    let bytes = rmp_serde::to_vec(&batch).unwrap();
+    stream.write_u32(bytes.len() as u32).await.unwrap();
+    stream.write_all(&bytes).await.unwrap();
+    loop {
+        let length = stream.read_u32().await.unwrap();
+        let mut bytes = vec![0; length as usize];
+        stream.read_exact(&mut bytes).await.unwrap();
+        let results: Vec<(u64, serde::de::IgnoredAny)> = rmp_serde::from_slice(&bytes).unwrap();
+        if results.iter().any(|(result, _)| *result == number) {
+            return;
+        }
+    }
+}
+
+/// Guards against an executor that was paused and carries out orders seconds late, when their leader has given them to
+/// another entry or has lost the lead. The clocks of the two entries differ.
+#[test]
+fn order_that_an_executor_reads_late_is_not_carried_out() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let executor = entry();
+        let stream = tokio::net::TcpStream::connect(executor.executor.address).await;
+        let mut stream = stream.unwrap();
+        let clock = 1_000_000_000;
+        poll_raw(&mut stream, 1, clock).await;
+        poll_raw(&mut stream, 2, clock - 2_000_000).await;
+        poll_raw(&mut stream, 3, clock).await;
+        assert_eq!(*executor.polled.lock().unwrap(), ["r1", "r3"]);
+    });
+}
