--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -1,4 +1,4 @@
-//! Execution of orders, each in a task of its own.
+//! Execution of orders, each in a task of its own, on this entry or through an executor.
 
 use super::{
     delegate::{
