refactor(roster): remove what nothing uses, and set the reads of a follower in one place

Roster::len and is_empty had no caller, a struct held a single time, and the reads of an entry that does not lead were requested by two copies of the same code.

--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -359,11 +359,7 @@
         self.engine = None;
         self.append_pending = false;
         self.out.requests.push(store::Request::Abandon);
-        self.out.requests.push(store::Request::SetReads {
-            jobs: self.membership.generation(),
-            jobs_interval: FOLLOWER_READ_INTERVAL,
-            runners: None,
-        });
+        self.set_follower_reads();
     }
 
     /// Prepares the shutdown: resigns if this entry leads, or else as soon as its claim is confirmed, and reports that it
--- a/crates/control/src/control/membership.rs
+++ b/crates/control/src/control/membership.rs
@@ -189,7 +189,8 @@
         self.out.events.push(Event::new("seat-lost", now));
     }
 
-    fn set_follower_reads(&mut self) {
+    /// Lets the store thread read what an entry that does not lead needs.
+    pub(super) fn set_follower_reads(&mut self) {
         self.out.requests.push(Request::SetReads {
             jobs: self.membership.generation(),
             jobs_interval: FOLLOWER_READ_INTERVAL,
--- a/crates/roster/src/roster/roster.rs
+++ b/crates/roster/src/roster/roster.rs
@@ -42,12 +42,6 @@
     held_since: Time,
 }
 
-/// A record of this entry that is being written.
-#[derive(Clone, Copy, Debug)]
-struct Write {
-    sent: Time,
-}
-
 /// The seats as one entry knows them.
 #[derive(Clone, Debug)]
 pub struct Roster {
@@ -63,7 +57,8 @@
     read_started: Time,
     /// When this entry first saw that it may take a seat.
     wanted_since: Option<Time>,
-    write: Option<Write>,
+    /// When the record of this entry that is being written was sent.
+    writing_since: Option<Time>,
     /// When the last record of this entry was sent.
     written_at: Time,
     /// Time before which no record is written, because the last one failed.
@@ -84,7 +79,7 @@
             reading_since: None,
             read_started: Time::MIN,
             wanted_since: None,
-            write: None,
+            writing_since: None,
             written_at: Time::MIN,
             retry_at: Time::MIN,
             latency: Duration::ZERO,
@@ -134,14 +129,14 @@
 
     /// Returns what to do now. `leads` tells whether this entry leads.
     pub fn act(&mut self, leads: bool, now: Time) -> Action {
-        if self.write.is_some() || now < self.retry_at || !self.is_fresh(now) {
+        if self.writing_since.is_some() || now < self.retry_at || !self.is_fresh(now) {
             return Action::Wait;
         }
         let changed = self.own.leads != leads;
         self.own.leads = leads;
         let due = match self.own_seat(now) {
             Some(key) if self.has_larger_candidates(now) => {
-                self.write = Some(Write { sent: now });
+                self.writing_since = Some(now);
                 return Action::Write(key, None);
             }
             Some(key) => {
@@ -154,17 +149,17 @@
             return Action::Wait;
         };
         self.wanted_since = None;
-        self.write = Some(Write { sent: now });
+        self.writing_since = Some(now);
         self.written_at = now;
         Action::Write(key, Some(self.own.clone()))
     }
 
     /// Handles the result of the write of a record.
     pub fn written(&mut self, stored: bool, now: Time) {
-        let Some(write) = self.write.take() else {
+        let Some(sent) = self.writing_since.take() else {
             return;
         };
-        self.latency = now.since(write.sent);
+        self.latency = now.since(sent);
         // A record that was stored is read before another one is written for the same seat.
         self.retry_at = now + self.timing.retry_pause;
         if !stored {
@@ -205,8 +200,8 @@
     /// Returns the time that the log last took to store a record of this entry, or takes now if that is longer.
     pub fn latency(&self, now: Time) -> Duration {
         let present = self
-            .write
-            .map_or(Duration::ZERO, |write| now.since(write.sent));
+            .writing_since
+            .map_or(Duration::ZERO, |sent| now.since(sent));
         self.latency.max(present)
     }
 
@@ -249,16 +244,6 @@
             .collect()
     }
 
-    /// Returns the number of live candidates.
-    pub fn len(&self, now: Time) -> usize {
-        self.live(now).count()
-    }
-
-    /// Tells whether there is no live candidate.
-    pub fn is_empty(&self, now: Time) -> bool {
-        self.len(now) == 0
-    }
-
     /// Returns the seats whose holders have renewed them in time.
     fn live(&self, now: Time) -> impl Iterator<Item = (&Key, &Seat)> {
         self.seats
