test(review): show that a schedule that began yesterday halts scheduling

Cause: all occurrences that are due open in one turn of the control thread, in quadratic time. Change: a script; nothing is fixed.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -167,6 +167,45 @@
     unfinished(&world, &client, "quick", "quoting", &jobs, 7_000)
 }
 
+/// LOST: a schedule that began yesterday brings all scheduling to a halt.
+pub fn overdue_job(setting: &Setting) -> Verdict {
+    let pools = [Pool { name: "reports", machines: 8 }, Pool { name: "quoting", machines: 4 }];
+    let queues = [
+        Queue { name: "nightly", service: "reports", attempts: 2 },
+        Queue { name: "quick", service: "quoting", attempts: 2 },
+    ];
+    let (world, mut entries) = setting.start(&pools, &queues)?;
+    let client = Client { world: &world, fronts: &entries.fronts.clone() };
+    let body = r#"{"spec":"work=800","phases":[{"count":2,"cpu":3500,"memMb":512,"estimateMs":800}]}"#;
+    let mut jobs = Vec::new();
+    for number in 0..10 {
+        if number == 2 {
+            // One task a second for a day and a minute. Without the disruption, the schedule begins now.
+            let first = unix_ms() - if setting.trouble { 86_400_000 } else { 0 };
+            let body = format!(
+                r#"{{"spec":"work=100","repeatCount":86460,"firstMs":{first},"periodMs":1000,"phases":[{{"count":1,"cpu":500,"memMb":16,"estimateMs":100}}]}}"#
+            );
+            if !client.submit("nightly", &id(7, 0), &body, 500) {
+                return Err("the scheduled job wasn't accepted".to_owned());
+            }
+        }
+        let job = id(8, number);
+        let began = Instant::now();
+        if client.submit("quick", &job, body, 3_500) {
+            jobs.push(job);
+        }
+        if began.elapsed() > 5 * SECOND {
+            break;
+        }
+        sleep(SECOND);
+    }
+    sleep(FINISH);
+    if !entries.all_run() {
+        return Ok(Some("a process of the system ended".to_owned()));
+    }
+    unfinished(&world, &client, "quick", "quoting", &jobs, 7_000)
+}
+
 /// Looks for accepted jobs of a queue that are not done and stand still.
 fn unfinished(world: &World, client: &Client<'_>, queue: &str, service: &str, jobs: &[String], need: u64) -> Verdict {
     let mut open = Vec::new();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -32,6 +32,7 @@
     let verdict = match case.as_str() {
         "foreign-entry" => cases::foreign_entry(&setting),
         "scheduled-job" => cases::scheduled_job(&setting),
+        "overdue-job" => cases::overdue_job(&setting),
         "lost-runner" => cases::lost_runner(&setting),
         "three-crashes" => cases::three_crashes(&setting),
         _ => Err("there is no such case".to_owned()),
