test(review): show that cut runners fail a lasting job

Cause: a run whose runner falls silent soon after its start counts as a crash by its task, and three of them end the job. Change: the case of three crashes becomes one of three cuts, which need no crash; nothing is fixed.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -167,45 +167,6 @@
     unfinished(&world, &client, "quick", "quoting", &jobs, 7_000)
 }
 
-/// LOST: a schedule that began yesterday brings all scheduling to a halt.
-pub fn overdue_job(setting: &Setting) -> Verdict {
-    let pools = [Pool { name: "reports", machines: 8 }, Pool { name: "quoting", machines: 4 }];
-    let queues = [
-        Queue { name: "nightly", service: "reports", attempts: 2 },
-        Queue { name: "quick", service: "quoting", attempts: 2 },
-    ];
-    let (world, mut entries) = setting.start(&pools, &queues)?;
-    let client = Client { world: &world, fronts: &entries.fronts.clone() };
-    let body = r#"{"spec":"work=800","phases":[{"count":2,"cpu":3500,"memMb":512,"estimateMs":800}]}"#;
-    let mut jobs = Vec::new();
-    for number in 0..10 {
-        if number == 2 {
-            // One task a second for a day and a minute. Without the disruption, the schedule begins now.
-            let first = unix_ms() - if setting.trouble { 86_400_000 } else { 0 };
-            let body = format!(
-                r#"{{"spec":"work=100","repeatCount":86460,"firstMs":{first},"periodMs":1000,"phases":[{{"count":1,"cpu":500,"memMb":16,"estimateMs":100}}]}}"#
-            );
-            if !client.submit("nightly", &id(7, 0), &body, 500) {
-                return Err("the scheduled job wasn't accepted".to_owned());
-            }
-        }
-        let job = id(8, number);
-        let began = Instant::now();
-        if client.submit("quick", &job, body, 3_500) {
-            jobs.push(job);
-        }
-        if began.elapsed() > 5 * SECOND {
-            break;
-        }
-        sleep(SECOND);
-    }
-    sleep(FINISH);
-    if !entries.all_run() {
-        return Ok(Some("a process of the system ended".to_owned()));
-    }
-    unfinished(&world, &client, "quick", "quoting", &jobs, 7_000)
-}
-
 /// Looks for accepted jobs of a queue that are not done and stand still.
 fn unfinished(world: &World, client: &Client<'_>, queue: &str, service: &str, jobs: &[String], need: u64) -> Verdict {
     let mut open = Vec::new();
@@ -270,10 +231,10 @@
     unfinished(&world, &client, "quick", "quoting", &jobs, 7_000)
 }
 
-/// LOST: a job none of whose runs ended `failed` is shown as `failed`, because its runners crashed.
-pub fn three_crashes(setting: &Setting) -> Verdict {
+/// LOST: a job none of whose runs ended `failed` is shown as `failed`, because its runners were cut off.
+pub fn three_cuts(setting: &Setting) -> Verdict {
     let pools = [Pool { name: "quoting", machines: 8 }];
-    let queues = [Queue { name: "cutlist", service: "quoting", attempts: 4 }];
+    let queues = [Queue { name: "cutlist", service: "quoting", attempts: 2 }];
     let (world, mut entries) = setting.start(&pools, &queues)?;
     let client = Client { world: &world, fronts: &entries.fronts.clone() };
     let job = id(6, 1);
@@ -285,30 +246,68 @@
         if !wait(15 * SECOND, || !world.running(&job).is_empty()) {
             break;
         }
-        sleep(Duration::from_millis(250));
-        if setting.trouble {
-            let Some(row) = world.running(&job).pop() else {
-                return Err("the task ended by itself".to_owned());
-            };
-            let lives = world.lives();
-            let life = lives.iter().find(|life| life.id == row.runner).ok_or("the runner is unknown")?;
-            world.crash(life);
-            // The machine is back two seconds later, with a new runner.
-            sleep(2 * SECOND);
-            world.start_life(&life.machine, &life.service, 1);
-        } else {
-            sleep(2 * SECOND);
+        sleep(Duration::from_millis(200));
+        if !setting.trouble {
+            sleep(4 * SECOND);
+            continue;
         }
+        let Some(row) = world.running(&job).pop() else {
+            return Err("the task ended by itself".to_owned());
+        };
+        let lives = world.lives();
+        let life = lives.iter().find(|life| life.id == row.runner).ok_or("the runner is unknown")?;
+        world.cut(life, true);
+        // The cut ends as soon as the task runs elsewhere, so that one runner is cut off at a time.
+        let elsewhere = || world.running(&job).iter().any(|other| other.runner != row.runner);
+        wait(Duration::from_millis(5_500), elsewhere);
+        world.cut(life, false);
     }
     sleep(8 * SECOND);
     if !entries.all_run() {
         return Err("a process of the system ended".to_owned());
     }
-    let failed = world.rows().iter().filter(|row| row.how == "failed").count();
+    let rows = world.rows();
+    let failed = rows.iter().filter(|row| row.how == "failed").count();
+    let lapsed = rows.iter().filter(|row| row.how == "lapsed").count();
     let state = client.state("cutlist", &job);
     let (_, body) = state.ok_or("the state of the job isn't known")?;
     let running = world.running(&job).len();
     Ok((body.contains("failed") && failed == 0).then(|| {
-        format!("LOST: job {job} is shown as {body}, though {failed} of its runs ended failed; {running} of its tasks run")
+        format!(
+            "LOST: job {job} is shown as {body}, though {failed} of its runs ended failed ({lapsed} lapsed); {running} of its tasks run"
+        )
     }))
 }
+
+/// TWICE: a start that got no answer is carried out late, by a runner that has started again under its id.
+pub fn late_start(setting: &Setting) -> Verdict {
+    let pools = [Pool { name: "quoting", machines: 8 }];
+    let queues = [Queue { name: "quick", service: "quoting", attempts: 2 }];
+    let (world, mut entries) = setting.start(&pools, &queues)?;
+    let client = Client { world: &world, fronts: &entries.fronts.clone() };
+    sleep(8 * SECOND);
+    if setting.trouble {
+        world.hold_next_start();
+    }
+    // One start of twenty gets no answer.
+    let body = r#"{"spec":"work=8000","phases":[{"count":20,"cpu":3500,"memMb":512,"estimateMs":8000}]}"#;
+    if !client.submit("quick", &id(9, 0), body, 3_500) {
+        return Err("the job wasn't accepted".to_owned());
+    }
+    if setting.trouble {
+        if !wait(5 * SECOND, || world.held.lock().unwrap().is_some()) {
+            return Err("no start was held back".to_owned());
+        }
+        let life = world.held.lock().unwrap().as_ref().map(|held| Arc::clone(&held.0)).unwrap();
+        sleep(Duration::from_millis(1_500));
+        world.crash(&life);
+        sleep(Duration::from_millis(500));
+        let address = life.address.lock().unwrap().unwrap();
+        world.start_named(life.id.clone(), &address.to_string(), &life.machine, &life.service, 1);
+    }
+    sleep(16 * SECOND);
+    if !entries.all_run() {
+        return Err("a process of the system ended".to_owned());
+    }
+    Ok(twice(&world.rows()))
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -29,6 +29,10 @@
 }
 
 impl Answer {
+    pub fn none() -> Self {
+        Self { status: 0, body: Vec::new() }
+    }
+
     pub fn json(status: u16, body: impl Into<String>) -> Self {
         Self { status, body: body.into().into_bytes() }
     }
@@ -89,7 +93,8 @@
             return Ok(());
         };
         let answer = serve(call);
-        if !live.load(Ordering::SeqCst) {
+        // Status 0 stands for no answer.
+        if !live.load(Ordering::SeqCst) || answer.status == 0 {
             return Ok(());
         }
         let mut out = format!(
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -32,9 +32,9 @@
     let verdict = match case.as_str() {
         "foreign-entry" => cases::foreign_entry(&setting),
         "scheduled-job" => cases::scheduled_job(&setting),
-        "overdue-job" => cases::overdue_job(&setting),
         "lost-runner" => cases::lost_runner(&setting),
-        "three-crashes" => cases::three_crashes(&setting),
+        "three-cuts" => cases::three_cuts(&setting),
+        "late-start" => cases::late_start(&setting),
         _ => Err("there is no such case".to_owned()),
     };
     let (code, text) = match verdict {
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -27,6 +27,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// How long a run takes to stop; the page allows up to 900 ms.
 const STOP_TIME: Duration = Duration::from_millis(100);
+/// How late an order without an answer is carried out; the site file's range is 2 to 12 s.
+const LATE: Duration = Duration::from_secs(3);
 /// Time after which a lasting task is at work.
 const WARM_UP: Duration = Duration::from_millis(500);
 
@@ -294,7 +296,10 @@
     born: u64,
     began: Instant,
     pub alive: AtomicBool,
+    /// Whether the machine is cut off from all others; what it runs goes on.
+    cut: AtomicBool,
     server: Mutex<Option<Server>>,
+    pub address: Mutex<Option<SocketAddr>>,
     state: Mutex<LifeState>,
 }
 
@@ -327,7 +332,26 @@
         }
     }
 
-    fn serve(&self, world: &World, call: &Call) -> Answer {
+    fn serve(self: &Arc<Self>, world: &Arc<World>, call: &Call) -> Answer {
+        if self.is_cut() {
+            return Answer::none();
+        }
+        if call.path == "/run-start" && world.hold_next.swap(false, Ordering::SeqCst) {
+            return world.hold_back(self, call);
+        }
+        self.execute(world, call)
+    }
+
+    /// Waits while the machine is cut off, and tells whether it was.
+    fn is_cut(&self) -> bool {
+        let cut = self.cut.load(Ordering::SeqCst);
+        while self.cut.load(Ordering::SeqCst) && self.alive.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        cut
+    }
+
+    fn execute(&self, world: &World, call: &Call) -> Answer {
         let expected = call.headers.get("x-sassafrascrank-expect-instance");
         if expected.is_some_and(|id| *id != self.id) {
             return Answer::json(421, "{}");
@@ -414,6 +438,9 @@
             }
             drop(guard);
             thread::sleep(Duration::from_millis(3));
+            if self.is_cut() {
+                return Answer::none();
+            }
         }
     }
 
@@ -465,6 +492,10 @@
     /// Processor need of the tasks of each job, for the judgement.
     pub needs: Mutex<HashMap<String, u64>>,
     numbers: AtomicU64,
+    /// Whether the next start of a task gets no answer and is carried out late.
+    hold_next: AtomicBool,
+    /// The life whose start was held back, and what was held back.
+    pub held: Mutex<Option<(Arc<Life>, String)>>,
     platform: Mutex<Option<Server>>,
 }
 
@@ -477,6 +508,8 @@
             rows: Mutex::default(),
             needs: Mutex::default(),
             numbers: AtomicU64::new(1),
+            hold_next: AtomicBool::new(false),
+            held: Mutex::new(None),
             platform: Mutex::new(None),
         });
         let shared = Arc::clone(&world);
@@ -550,40 +583,70 @@
 
     /// Starts a new life of a machine, which registers itself and goes on doing so.
     pub fn start_life(self: &Arc<Self>, machine: &str, service: &str, number: usize) -> Arc<Life> {
+        let id = format!("i-{:010x}", 0x4b_af95_97cd_u64 + self.numbers.fetch_add(1, Ordering::SeqCst) * 7_919);
+        self.start_named(id, "127.0.0.1:0", machine, service, number)
+    }
+
+    /// Starts a life under an id and at an address.
+    pub fn start_named(
+        self: &Arc<Self>,
+        id: String,
+        address: &str,
+        machine: &str,
+        service: &str,
+        number: usize,
+    ) -> Arc<Life> {
         let life = Arc::new(Life {
-            id: format!("i-{:010x}", 0x4b_af95_97cd_u64 + self.numbers.fetch_add(1, Ordering::SeqCst) * 7_919),
+            id,
             machine: machine.to_owned(),
             service: service.to_owned(),
             rack: format!("r1-{}", number / 4),
             born: unix_ms(),
             began: Instant::now(),
             alive: AtomicBool::new(true),
+            cut: AtomicBool::new(false),
             server: Mutex::new(None),
+            address: Mutex::new(None),
             state: Mutex::default(),
         });
         let (serving, world) = (Arc::clone(&life), Arc::clone(self));
-        let server = Server::start("127.0.0.1:0", move |call| serving.serve(&world, &call)).expect("a free port");
+        let server = Server::start(address, move |call| serving.serve(&world, &call)).expect("a free port");
         let address = server.address;
         *life.server.lock().unwrap() = Some(server);
+        *life.address.lock().unwrap() = Some(address);
         self.lives.lock().unwrap().push(Arc::clone(&life));
         self.recorder.note(format!("{}: starts on {machine} for {service}", life.id));
         let (writing, world) = (Arc::clone(&life), Arc::clone(self));
         thread::spawn(move || {
             let mut sequence = 0;
+            let mut written: Option<Instant> = None;
             while writing.alive.load(Ordering::SeqCst) {
-                sequence += 1;
-                let clock = writing.clock(Instant::now());
-                let entry = world.entry(&writing, address, clock, sequence);
-                world.log.put("keyed.servers", &writing.id, entry.as_bytes());
-                let until = Instant::now() + HEARTBEAT;
-                while writing.alive.load(Ordering::SeqCst) && Instant::now() < until {
-                    thread::sleep(Duration::from_millis(5));
+                let cut = writing.cut.load(Ordering::SeqCst);
+                let silent = written.map_or(Duration::MAX, |at| at.elapsed());
+                if !cut && silent >= HEARTBEAT {
+                    sequence += 1;
+                    let clock = writing.clock(Instant::now());
+                    let entry = world.entry(&writing, address, clock, sequence);
+                    world.log.put("keyed.servers", &writing.id, entry.as_bytes());
+                    written = Some(Instant::now());
+                } else if cut && written.is_some() && silent >= HEARTBEAT * 3 {
+                    // The store removes an entry after three intervals of silence.
+                    world.log.put("keyed.servers", &writing.id, b"");
+                    world.recorder.note(format!("{}: its entry has expired", writing.id));
+                    written = None;
+                    while writing.cut.load(Ordering::SeqCst) {
+                        thread::sleep(Duration::from_millis(5));
+                    }
                 }
+                thread::sleep(Duration::from_millis(5));
             }
-            // The store removes an entry after three intervals of silence.
             thread::sleep(HEARTBEAT * 3);
-            world.log.put("keyed.servers", &writing.id, b"");
-            world.recorder.note(format!("{}: its entry has expired", writing.id));
+            let lives = world.lives();
+            let mut others = lives.iter().filter(|life| life.id == writing.id);
+            if !others.any(|life| life.alive.load(Ordering::SeqCst)) {
+                world.log.put("keyed.servers", &writing.id, b"");
+                world.recorder.note(format!("{}: its entry has expired", writing.id));
+            }
         });
         life
     }
@@ -601,6 +664,44 @@
         self.recorder.note(format!("another writer: servers/{id} = {entry}"));
     }
 
+    /// Cuts a machine off from all others, or connects it again.
+    pub fn cut(&self, life: &Life, cut: bool) {
+        life.cut.store(cut, Ordering::SeqCst);
+        self.recorder.note(format!("{}: {}", life.id, if cut { "is cut off" } else { "is connected again" }));
+    }
+
+    /// Lets the next start of a task get no answer. It is carried out late.
+    pub fn hold_next_start(&self) {
+        self.hold_next.store(true, Ordering::SeqCst);
+    }
+
+    /// Gives no answer to a start, and carries it out three seconds later, by whoever has the id and the address then.
+    fn hold_back(self: &Arc<Self>, life: &Arc<Life>, call: &Call) -> Answer {
+        let body = String::from_utf8_lossy(&call.body).into_owned();
+        self.recorder.note(format!("{}: a start gets no answer: {body}", life.id));
+        *self.held.lock().unwrap() = Some((Arc::clone(life), body));
+        let (world, id) = (Arc::clone(self), life.id.clone());
+        let call = Call {
+            method: call.method.clone(),
+            path: call.path.clone(),
+            query: HashMap::new(),
+            headers: call.headers.clone(),
+            body: call.body.clone(),
+        };
+        thread::spawn(move || {
+            thread::sleep(LATE);
+            let lives = world.lives();
+            let mut present = lives.iter().filter(|life| life.id == id && life.alive.load(Ordering::SeqCst));
+            if let Some(life) = present.next() {
+                let answer = life.execute(&world, &call);
+                let text = String::from_utf8_lossy(&answer.body).into_owned();
+                world.recorder.note(format!("{id}: the late start is carried out: {} {text}", answer.status));
+            }
+        });
+        thread::sleep(Duration::from_secs(2));
+        Answer::none()
+    }
+
     /// Ends a life as a crash does: its connections end, and what it runs is gone.
     pub fn crash(&self, life: &Life) {
         let mut state = life.state.lock().unwrap();
