fix(schedule): do not give jobs up because their runners were silent

Cause: a run that was lost with its lease within 0.5 s of its start counted as a crash of its runner, and three of them end the job, also that of a long-running task. A runner whose lease has ended may only be cut off.

Change: such a runner is remembered, and counts once it is known to have ended (a later incarnation or runner, a failed host). If it answers again, or its host was ordered away, it does not. Jobs of long-running tasks are not given up. After three suspected crashes in a row, a task waits for 3 s before each start. Silent runners are stored with the progress, as rows with attempt 0, which entries of the version before can read.

Why it works: the end of a lease says when a task may start elsewhere; what became of the runner is decided by evidence about the runner alone.

`format` has one more record, the others keep their bytes.

--- a/crates/job/src/progress/progress.rs
+++ b/crates/job/src/progress/progress.rs
@@ -31,6 +31,17 @@
     pub attempt: u32,
 }
 
+/// A runner that fell silent soon after it had started a task. Nobody knows yet whether it has crashed or is only cut off.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Silence {
+    /// Identity of the runner.
+    pub runner: Arc<str>,
+    /// Incarnation of the runner.
+    pub incarnation: u64,
+    /// Host of the runner.
+    pub host: Arc<str>,
+}
+
 /// Stored state of a task.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Task {
@@ -42,6 +53,8 @@
     pub failures: u16,
     /// Number of runners in a row that may have crashed because of the task.
     pub crashes: u8,
+    /// Those of them that have only fallen silent.
+    pub silences: Vec<Silence>,
     /// Number of the last attempt that was ordered.
     pub attempt: u32,
     /// Attempts that may still be running.
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -22,7 +22,8 @@
     progress::{
         self,
         Assignment,
-        Outcome, //
+        Outcome,
+        Silence, //
     },
 };
 use sassafrascrank_base::prelude::*;
@@ -94,7 +95,7 @@
     done: bool,
     failures: u16,
     attempt: u32,
-    /// Runner, its incarnation, its host, attempt.
+    /// Runner, its incarnation, its host, attempt. The attempt is [`SILENCE`] for a runner that has fallen silent.
     assignments: Vec<(String, u64, String, u32)>,
     checkpoint: Option<String>,
     /// Left out if it is 0, so that entries of versions without it can read the record.
@@ -102,6 +103,10 @@
     crashes: u8,
 }
 
+/// Stands for the attempt in the row of a silence, since attempts count from 1. Entries of versions without silences take
+/// the row for a run that may be alive, which they look for in vain.
+const SILENCE: u32 = 0;
+
 fn is_zero(number: &u8) -> bool {
     *number == 0
 }
@@ -313,12 +318,19 @@
             let host = at.host.to_string();
             (at.runner.to_string(), at.incarnation, host, at.attempt)
         };
+        let silence = |at: &Silence| {
+            let host = at.host.to_string();
+            (at.runner.to_string(), at.incarnation, host, SILENCE)
+        };
+        let assignments = task.assignments.iter().map(row);
         Self {
             position: (occurrence, step, index),
             done: task.done,
             failures: task.failures,
             attempt: task.attempt,
-            assignments: task.assignments.iter().map(row).collect(),
+            assignments: assignments
+                .chain(task.silences.iter().map(silence))
+                .collect(),
             checkpoint: task.checkpoint.as_deref().map(str::to_owned),
             crashes: task.crashes,
         }
@@ -328,13 +340,23 @@
 impl From<WireTask> for progress::Task {
     fn from(wire: WireTask) -> Self {
         let (occurrence, step, index) = wire.position;
-        let assignment =
-            |(runner, incarnation, host, attempt): (String, u64, String, u32)| Assignment {
-                runner: runner.into(),
-                incarnation,
-                host: host.into(),
-                attempt,
-            };
+        let (mut assignments, mut silences) = (Vec::new(), Vec::new());
+        for (runner, incarnation, host, attempt) in wire.assignments {
+            let (runner, host) = (runner.into(), host.into());
+            match attempt {
+                SILENCE => silences.push(Silence {
+                    runner,
+                    incarnation,
+                    host,
+                }),
+                _ => assignments.push(Assignment {
+                    runner,
+                    incarnation,
+                    host,
+                    attempt,
+                }),
+            }
+        }
         Self {
             position: Position {
                 occurrence,
@@ -344,9 +366,10 @@
             done: wire.done,
             failures: wire.failures,
             attempt: wire.attempt,
-            assignments: wire.assignments.into_iter().map(assignment).collect(),
+            assignments,
             checkpoint: wire.checkpoint.map(Arc::from),
             crashes: wire.crashes,
+            silences,
         }
     }
 }
--- a/crates/job/tests/format.rs
+++ b/crates/job/tests/format.rs
@@ -68,6 +68,18 @@
     stored(&format!("p{id:016x}"), &value)
 }
 
+/// The state of a job of which one runner has fallen silent after the start of a task.
+fn silent() -> (String, Vec<u8>) {
+    let position = (0_u32, 0_u16, 0_u16);
+    // The row of the silent runner names attempt 0.
+    let rows = [
+        ("runner-2", 1_800_u64, "host-2", 2_u32),
+        ("runner-1", 1_700, "host-1", 0),
+    ];
+    let task = (position, false, 0_u16, 2_u32, rows, (), 1_u8);
+    stored("p00000000000000a5", &(9_u64, (), true, 0_u32, [task]))
+}
+
 /// One record of each kind, by hand.
 fn records() -> Vec<(&'static str, (String, Vec<u8>))> {
     let leader = (
@@ -93,6 +105,7 @@
         ("done job", progress(0xa2, Some("Done"))),
         ("failed job", progress(0xa3, Some("Failed"))),
         ("cancelled progress", progress(0xa4, Some("Cancelled"))),
+        ("job of a silent runner", silent()),
         ("leader", stored("leader", &leader)),
         (
             "wave with a host",
--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -316,6 +316,7 @@
             let step = &mut occurrence.steps[usize::from(task.step)];
             step.tasks_left = step.tasks_left.saturating_sub(1);
         }
+        self.clear_crashes(task);
         self.mark_dirty(task.job_key);
         for other in other_runs {
             self.stop(other, "task-done", now);
@@ -407,6 +408,7 @@
             && let Some(active) = self.jobs.remove(key)
         {
             self.job_index.remove(&active.job.id);
+            self.silences.retain(|(task, _)| task.job_key != key);
         }
     }
 
--- a/crates/schedule/src/engine/end.rs
+++ b/crates/schedule/src/engine/end.rs
@@ -53,13 +53,7 @@
         let Some(&job_key) = self.job_index.get(&end.task.job) else {
             return;
         };
-        let position = end.task.position;
-        let task = TaskKey {
-            job_key,
-            occurrence: position.occurrence,
-            step: position.step,
-            index: position.index,
-        };
+        let task = TaskKey::new(job_key, end.task.position);
         let task_state = self.jobs[job_key].task(task.occurrence, task.step, task.index);
         let Some(state) = task_state else {
             return;
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -11,6 +11,7 @@
         self,
         ActiveJob,
         Run,
+        TaskKey,
         run, //
     },
     note::Kind,
@@ -28,7 +29,8 @@
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
     Id,
-    Policy, //
+    Policy,
+    progress::Silence, //
 };
 use slotmap::SlotMap;
 use std::{
@@ -76,6 +78,10 @@
     pub(super) jobs: SlotMap<job::Key, ActiveJob>,
     pub(super) job_index: HashMap<Id, job::Key>,
     pub(super) runs: SlotMap<run::Key, Run>,
+    /// Runners that may have crashed because of a task, or may only be cut off; at most [`CRASH_LIMIT`] for each task.
+    ///
+    /// [`CRASH_LIMIT`]: super::loss::CRASH_LIMIT
+    pub(super) silences: Vec<(TaskKey, Silence)>,
     /// Jobs whose latest state the log lacks.
     pub(super) dirty: Vec<job::Key>,
     /// Effects of decisions whose records were not taken yet.
@@ -115,6 +121,7 @@
             jobs: SlotMap::with_key(),
             job_index: HashMap::new(),
             runs: SlotMap::with_key(),
+            silences: Vec::new(),
             dirty: Vec::new(),
             effects: Vec::new(),
             storing: None,
--- a/crates/schedule/src/engine/gang.rs
+++ b/crates/schedule/src/engine/gang.rs
@@ -80,7 +80,9 @@
             return false;
         };
         let members = occurrence.tasks(&active.job, step.step);
-        let waits = |task: &crate::job::Task| task.state == State::Ready && task.runs.is_empty();
+        let waits = |task: &crate::job::Task| {
+            task.state == State::Ready && task.runs.is_empty() && now >= task.paused_until
+        };
         if !members.iter().all(waits) {
             return false;
         }
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -3,7 +3,8 @@
 use super::{
     Engine,
     engine::Effect,
-    loss::Loss, //
+    loss::Loss,
+    silence::Fate, //
 };
 use crate::{
     fleet::{
@@ -29,6 +30,7 @@
     runner,
 };
 use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::progress::Silence;
 use std::sync::Arc;
 
 /// Time between two rounds of decisions on hosts, which go over all of them.
@@ -82,6 +84,10 @@
             host.misses += 1;
         }
         for listed in hosts {
+            if listed.state == State::Down {
+                let on_host = |silence: &Silence| silence.host == listed.name;
+                self.resolve_silences(on_host, Fate::Crashed, "host-down", now);
+            }
             self.set_host(listed, asked, now);
         }
         let gone = |host: &Host| host.misses >= CONFIRMING_LISTS;
@@ -367,11 +373,14 @@
             && let Some(wave) = self.fleet.waves.get_mut(&wave)
             && wave.begun.insert(Arc::clone(&name))
         {
-            self.fleet.unstored_waves.push((wave.number, Some(name)));
+            let begun = Some(Arc::clone(&name));
+            self.fleet.unstored_waves.push((wave.number, begun));
         }
         if let Some(runner) = ending {
             self.end_incarnation(runner, Loss::HostOrdered, now);
         }
+        let on_host = |silence: &Silence| silence.host == name;
+        self.resolve_silences(on_host, Fate::Innocent, "host-ordered", now);
     }
 }
 
--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -23,7 +23,11 @@
 const CRASH_WINDOW: Duration = Duration::from_millis(500);
 /// Number of runners that a task may crash before its job is given up. A runner that crashes takes its other tasks along.
 /// Two crashes can be bad luck, since the cause is known only once a task starts apart from other suspected ones.
-const CRASH_LIMIT: u8 = 3;
+pub(super) const CRASH_LIMIT: u8 = 3;
+/// Time without a start after the loss of a task that may have crashed [`CRASH_LIMIT`] runners or more. A runner that has
+/// crashed is usually back within this time, and so known to have crashed. It also limits how fast a long-running task,
+/// which is never given up, ends what runs on other runners.
+const CRASH_PAUSE: Duration = Duration::from_secs(3);
 /// Largest time between the last answers of runners that fail together.
 const RACK_FAILURE_SPREAD: Duration = Duration::from_secs(1);
 
@@ -103,6 +107,13 @@
     run.crashes > 0 && is_recent(run, now)
 }
 
+/// Pauses a task that may have crashed too many runners.
+pub(super) fn pause(task: &mut job::Task, now: Time) {
+    if task.crashes >= CRASH_LIMIT {
+        task.paused_until = now + CRASH_PAUSE;
+    }
+}
+
 /// Tells whether one more crash ends the job of a task that may have crashed `crashes` runners.
 fn is_last_trial(crashes: u8) -> bool {
     crashes.saturating_add(1) >= CRASH_LIMIT
@@ -184,21 +195,28 @@
         let suspected = may_have_crashed(run, runner, loss);
         let cleared = has_outlived_trial(run, runner);
         let task = run.task;
-        let Some(active) = self.jobs.get_mut(task.job_key) else {
-            return;
-        };
-        let Some(state) = active.task_mut(task.occurrence, task.step, task.index) else {
-            return;
-        };
         if cleared {
-            state.crashes = 0;
+            self.clear_crashes(task);
         }
         if !suspected {
             return;
         }
-        state.crashes = state.crashes.saturating_add(1);
+        // Whether a silent runner has crashed is known later.
+        let counted = loss != Loss::LeaseEnded || self.add_silence(run);
+        let active = self.jobs.get_mut(task.job_key);
+        let state =
+            active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
+        if let Some(state) = state {
+            state.crashes = state.crashes.saturating_add(u8::from(counted));
+            pause(state, now);
+        }
         self.note_run(Kind::CrashSuspected, loss.as_str(), run, now);
-        if self.has_crashed_too_often(task.job_key) {
+        self.give_up_crashing(task, now);
+    }
+
+    /// Ends the job of a task that has crashed too many runners.
+    pub(super) fn give_up_crashing(&mut self, task: TaskKey, now: Time) {
+        if self.has_crashed_too_often(task) {
             self.finish_job(task.job_key, Outcome::Failed, "crashes", now);
         }
     }
@@ -215,14 +233,17 @@
         }
     }
 
-    /// Tells whether a job that has not ended has a task that crashes its runners again and again.
-    pub(super) fn has_crashed_too_often(&self, key: job::Key) -> bool {
-        let crashes = |state: &job::Task| state.crashes >= CRASH_LIMIT;
-        let Some(active) = self.jobs.get(key) else {
+    /// Tells whether a task crashes its runners again and again, so that its job is given up. Runners that are only silent
+    /// do not count, and long-running tasks are restarted however they end.
+    pub(super) fn has_crashed_too_often(&self, task: TaskKey) -> bool {
+        let Some(active) = self.jobs.get(task.job_key) else {
             return false;
         };
-        let mut tasks = active.occurrences.iter().flat_map(|it| &it.tasks);
-        active.outcome.is_none() && tasks.any(crashes)
+        let long_running = active.job.steps[usize::from(task.step)].long_running;
+        let state = active.task(task.occurrence, task.step, task.index);
+        let crashes = state.map_or(0, |state| usize::from(state.crashes));
+        let limited = active.outcome.is_none() && !long_running;
+        limited && crashes >= usize::from(CRASH_LIMIT) + self.silences_of(task).count()
     }
 
     /// Clears the tasks of the runs on a runner that have not crashed it in time. The log has to know that, since a later
@@ -238,13 +259,7 @@
         let runs = runner.runs.iter().filter(cleared);
         let tasks: Vec<TaskKey> = runs.map(|&run| self.runs[run].task).collect();
         for task in tasks {
-            let active = self.jobs.get_mut(task.job_key);
-            let state =
-                active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
-            if let Some(state) = state.filter(|state| state.crashes > 0) {
-                state.crashes = 0;
-                self.mark_dirty(task.job_key);
-            }
+            self.clear_crashes(task);
         }
     }
 }
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -17,6 +17,7 @@
 mod restore;
 mod run;
 mod runners;
+mod silence;
 mod store;
 mod straggler;
 mod tick;
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -79,9 +79,10 @@
             return self.place_gang(task.step(), now);
         }
         let state = active.task(task.occurrence, task.step, task.index);
-        let Some((avoid, attempt)) = state.map(|state| (state.avoid, state.attempt)) else {
+        let Some(state) = state.filter(|state| now >= state.paused_until) else {
             return false;
         };
+        let (avoid, attempt) = (state.avoid, state.attempt);
         let Some(runner_key) = self.choose_runner(task, avoid, now) else {
             self.ask_advice(task.step(), now);
             return false;
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -223,13 +223,7 @@
     /// Returns the run that a runner reports, if the engine knows it.
     fn find_run(&self, key: runner::Key, row: &Running) -> Option<run::Key> {
         let job_key = *self.job_index.get(&row.task.job)?;
-        let position = row.task.position;
-        let runs = self.runs_of(TaskKey {
-            job_key,
-            occurrence: position.occurrence,
-            step: position.step,
-            index: position.index,
-        });
+        let runs = self.runs_of(TaskKey::new(job_key, row.task.position));
         runs.into_iter().find(|&run| {
             let run = &self.runs[run];
             run.attempt == row.attempt && run.runner == key
@@ -314,6 +308,7 @@
             let id = runner.id.clone();
             self.note(Note::new(Kind::RunnerBack, "answered", now).with_place(&id));
         }
+        self.refute_crashes(key, now);
     }
 
     /// Records that a runner did not answer.
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -2,7 +2,10 @@
 
 use super::{
     Engine,
-    loss::Loss, //
+    loss::{
+        self,
+        Loss, //
+    },
 };
 use crate::{
     job::{
@@ -48,13 +51,18 @@
         }
         match outcome {
             Some(outcome) => self.finish_job(key, outcome, "inherited", now),
-            None if self.has_crashed_too_often(key) => {
+            None if progress.is_some_and(|progress| self.is_given_up(key, progress)) => {
                 self.finish_job(key, Outcome::Failed, "crashes", now);
             }
             None => self.open_due_occurrences(key, wall, now),
         }
     }
 
+    fn is_given_up(&self, key: job::Key, progress: &Progress) -> bool {
+        let mut tasks = progress.tasks.iter();
+        tasks.any(|task| self.has_crashed_too_often(TaskKey::new(key, task.position)))
+    }
+
     fn restore_progress(&mut self, key: job::Key, progress: &Progress, now: Time) {
         let active = &mut self.jobs[key];
         active.begun = progress.begun;
@@ -89,6 +97,7 @@
         };
         state.failures = kept.failures;
         state.crashes = kept.crashes;
+        loss::pause(state, now);
         state.attempt = kept.attempt;
         state.checkpoint = kept.checkpoint.clone();
         if kept.done {
@@ -98,12 +107,8 @@
                 step.tasks_left = step.tasks_left.saturating_sub(1);
             }
         }
-        let task = TaskKey {
-            job_key: key,
-            occurrence: position.occurrence,
-            step: position.step,
-            index: position.index,
-        };
+        let task = TaskKey::new(key, position);
+        self.restore_silences(task, &kept.silences);
         for assignment in &kept.assignments {
             self.restore_run(task, assignment, now);
         }
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -95,6 +95,7 @@
             self.end_incarnation(former, Loss::Reborn, now);
         }
         self.runner_index.insert(id, key);
+        self.confirm_crashes(key, now);
         key
     }
 
@@ -186,6 +187,7 @@
         for run in runs {
             self.lose(run, loss, now);
         }
+        self.settle_crashes(key, loss, now);
         self.remove_runner(key);
         self.note(Note::new(Kind::RunnerGone, loss.as_str(), now).with_place(&id));
     }
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -5,8 +5,10 @@
     engine::Effect, //
 };
 use crate::job::{
+    self,
     ActiveJob,
-    Occurrence, //
+    Occurrence,
+    TaskKey, //
 };
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
@@ -41,7 +43,7 @@
             if let Some(active) = self.jobs.get_mut(key) {
                 active.dirty = false;
                 let ended = active.outcome.is_some();
-                records.push(Record::Progress(Arc::new(self.progress(&self.jobs[key]))));
+                records.push(Record::Progress(Arc::new(self.progress(key))));
                 if ended {
                     self.drop_when_stored(key);
                 }
@@ -114,7 +116,8 @@
     }
 
     /// Returns the state of a job for the log.
-    fn progress(&self, active: &ActiveJob) -> Progress {
+    fn progress(&self, key: job::Key) -> Progress {
+        let active = &self.jobs[key];
         let tasks = active.occurrences.iter();
         let tasks = tasks
             .filter(|occurrence| occurrence.number >= active.finished || active.outcome.is_some());
@@ -125,7 +128,7 @@
             begun: active.begun,
             finished: active.finished,
             tasks: tasks
-                .flat_map(|occurrence| self.tasks(active, occurrence))
+                .flat_map(|occurrence| self.tasks(key, active, occurrence))
                 .collect(),
         }
     }
@@ -133,6 +136,7 @@
     /// Returns the state of those tasks of an occurrence that the log needs.
     fn tasks<'a>(
         &'a self,
+        key: job::Key,
         active: &'a ActiveJob,
         occurrence: &'a Occurrence,
     ) -> impl Iterator<Item = progress::Task> + use<'a> {
@@ -144,15 +148,20 @@
                 if task.is_initial() || (ended && task.runs.is_empty()) {
                     return None;
                 }
+                let position = Position {
+                    occurrence: occurrence.number,
+                    step: step as u16,
+                    index,
+                };
                 Some(progress::Task {
-                    position: Position {
-                        occurrence: occurrence.number,
-                        step: step as u16,
-                        index,
-                    },
-                    done: task.state == crate::job::State::Done,
+                    position,
+                    done: task.state == job::State::Done,
                     failures: task.failures,
                     crashes: task.crashes,
+                    silences: self
+                        .silences_of(TaskKey::new(key, position))
+                        .cloned()
+                        .collect(),
                     attempt: task.attempt,
                     assignments: self.assignments(task),
                     checkpoint: task.checkpoint.clone(),
@@ -161,9 +170,9 @@
         })
     }
 
-    fn assignments(&self, task: &crate::job::Task) -> Vec<Assignment> {
+    fn assignments(&self, task: &job::Task) -> Vec<Assignment> {
         let runs = task.runs.iter().filter_map(|&run| self.runs.get(run));
-        let assignment = |run: &crate::job::Run| {
+        let assignment = |run: &job::Run| {
             let runner = self.runners.get(run.runner)?;
             Some(Assignment {
                 runner: Arc::clone(&runner.id),
--- a/crates/schedule/src/job/key.rs
+++ b/crates/schedule/src/job/key.rs
@@ -1,5 +1,7 @@
 //! Keys of active jobs and of their steps and tasks.
 
+use sassafrascrank_job::id::Position;
+
 slotmap::new_key_type! {
     /// Identifies an active job within this process.
     pub struct Key;
@@ -30,6 +32,16 @@
 }
 
 impl TaskKey {
+    /// Returns the key of the task at a position within a job.
+    pub const fn new(job_key: Key, position: Position) -> Self {
+        Self {
+            job_key,
+            occurrence: position.occurrence,
+            step: position.step,
+            index: position.index,
+        }
+    }
+
     /// Returns the key of the task's step.
     pub const fn step(self) -> StepKey {
         StepKey {
--- a/crates/schedule/src/job/task.rs
+++ b/crates/schedule/src/job/task.rs
@@ -2,6 +2,7 @@
 
 use super::run;
 use crate::runner;
+use sassafrascrank_base::prelude::*;
 use std::sync::Arc;
 
 /// Scheduling state of a task.
@@ -25,8 +26,10 @@
     pub state: State,
     /// Number of attempts that failed.
     pub failures: u16,
-    /// Number of runners in a row that may have crashed because of the task.
+    /// Number of runners in a row that may have crashed because of the task, with those that have only fallen silent.
     pub crashes: u8,
+    /// No run starts before this time, since too many runners may have crashed because of the task.
+    pub paused_until: Time,
     /// Number of the latest attempt.
     pub attempt: u32,
     /// Latest checkpoint.
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -14,4 +14,5 @@
 mod pending;
 mod place;
 mod report;
+mod silence;
 mod straggler;
