fix(schedule): let tasks start behind others that find no runner

Cause: a round of placement ended after 24 steps without a runner. The steps of long-running tasks come first in their priority and never become late, so every round ended before the others. The same holds for any 24 steps at the front that wait for something that others do not need: a label, more than any runner has, an empty runner.

Change: a round still goes through the tasks in their order until 24 steps found no runner. Then it gives a turn to up to 256 tasks behind them, from where the round before ended, until 8 more steps found none. Tasks that need at least as much as one for which no runner had room are left out without a search, so that a full pool costs little and keeps its order.

Why it works: every waiting task gets its turn after a number of rounds that is bounded by the number of waiting tasks, whatever is in front of it.

Of the 6 tests of `blocked`, 5 fail without the change (0 of 10 jobs start); the sixth guards the order in a full pool and passes before and after.

--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -16,12 +16,36 @@
     },
 };
 use sassafrascrank_base::prelude::*;
-use sassafrascrank_job::Step;
+use sassafrascrank_job::{
+    Resource,
+    Step, //
+};
 use std::collections::HashMap;
 
-/// Number of steps without a runner after which a round of placement ends. It bounds the time of a round while many
-/// jobs wait.
+/// Number of steps without a runner after which a round of placement stops going through the tasks in their order. It
+/// bounds the time of a round while many jobs wait.
 const UNPLACED_LIMIT: usize = 24;
+/// Number of further steps without a runner after which a round ends.
+const TURN_UNPLACED_LIMIT: usize = 8;
+/// Number of further tasks that a round looks at. Most of them need no search for a runner while a pool is full.
+const TURN_LIMIT: usize = 256;
+
+/// Tasks that found no runner in a round of placement.
+#[derive(Debug, Default)]
+struct Unplaced {
+    /// Their steps.
+    steps: Vec<StepKey>,
+    /// What those of them need for which no runner of the pool has room.
+    needs: Vec<Resource>,
+}
+
+impl Unplaced {
+    /// Tells whether no runner has room for a task, because none has room for one that needs no more.
+    fn exceeds_room(&self, need: Resource) -> bool {
+        let mut needs = self.needs.iter();
+        needs.any(|&unmet| need.fits(Resource::default(), unmet))
+    }
+}
 
 /// Cost of running a task on a runner; smaller is better. The fields are compared in their order.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -53,23 +77,71 @@
         }
     }
 
+    /// Plans runs of the waiting tasks of a pool in their order, until too many of them find no runner.
+    ///
+    /// Tasks at the front may wait for something that other tasks do not need: a label, a runner that has no task of their
+    /// step yet, or an empty runner. So that they do not keep all others waiting, each round also gives a turn to some of
+    /// the tasks behind them.
     fn place_pool(&mut self, pool: key::Pool, now: Time) {
         let ready: Vec<Rank> = self.pools[pool].ready.iter().copied().collect();
-        let mut unplaced: Vec<StepKey> = Vec::new();
-        for rank in ready {
-            if unplaced.len() >= UNPLACED_LIMIT {
+        let mut unplaced = Unplaced::default();
+        for (index, &rank) in ready.iter().enumerate() {
+            if unplaced.steps.len() >= UNPLACED_LIMIT {
+                self.place_in_turn(pool, &ready[index..], unplaced, now);
                 return;
             }
-            let step = rank.task.step();
-            if unplaced.contains(&step) || !self.pools[pool].ready.contains(&rank) {
-                continue;
+            self.place_rank(pool, rank, &mut unplaced, now);
+        }
+    }
+
+    /// Plans runs of some of the tasks, beginning after those that had their turn in the round before.
+    fn place_in_turn(
+        &mut self,
+        pool: key::Pool,
+        ready: &[Rank],
+        mut unplaced: Unplaced,
+        now: Time,
+    ) {
+        let limit = unplaced.steps.len() + TURN_UNPLACED_LIMIT;
+        let latest = self.pools[pool].latest_turn;
+        let first = ready.partition_point(|&rank| latest.is_some_and(|latest| rank <= latest));
+        let turns = ready[first..].iter().chain(&ready[..first]);
+        for &rank in turns.take(TURN_LIMIT) {
+            if unplaced.steps.len() >= limit {
+                return;
             }
-            if !self.place_task(rank.task, now) {
-                unplaced.push(step);
+            self.pools[pool].latest_turn = Some(rank);
+            let spec = self.step_spec(rank.task);
+            if !spec.is_some_and(|spec| unplaced.exceeds_room(spec.reserved())) {
+                self.place_rank(pool, rank, &mut unplaced, now);
             }
         }
     }
 
+    /// Plans a run of a waiting task, unless another task of its step has found no runner in this round.
+    fn place_rank(&mut self, pool: key::Pool, rank: Rank, unplaced: &mut Unplaced, now: Time) {
+        let step = rank.task.step();
+        if unplaced.steps.contains(&step) || !self.pools[pool].ready.contains(&rank) {
+            return;
+        }
+        if self.place_task(rank.task, now) {
+            return;
+        }
+        unplaced.steps.push(step);
+        if let Some(need) = self.step_spec(rank.task).map(Step::reserved)
+            && !self.has_room(pool, need, now)
+        {
+            unplaced.needs.push(need);
+        }
+    }
+
+    /// Tells whether any runner of a pool that accepts tasks has room for one.
+    fn has_room(&self, pool: key::Pool, need: Resource, now: Time) -> bool {
+        let runners = self.pools[pool].runners.iter();
+        let mut runners = runners.map(|&key| &self.runners[key]);
+        runners.any(|runner| runner.accepts_tasks(now) && runner.fits(need))
+    }
+
     /// Plans a run of a task, or of all members of its gang, and returns whether it did.
     fn place_task(&mut self, task: TaskKey, now: Time) -> bool {
         let Some(active) = self.jobs.get(task.job_key) else {
--- a/crates/schedule/src/queue/pool.rs
+++ b/crates/schedule/src/queue/pool.rs
@@ -20,6 +20,8 @@
     pub runners: Vec<runner::Key>,
     /// Waiting tasks, in the order in which they start.
     pub ready: BTreeSet<Rank>,
+    /// The latest task that had its turn although others before it wait.
+    pub latest_turn: Option<Rank>,
 }
 
 impl Pool {
@@ -31,6 +33,7 @@
             standby: false,
             runners: Vec::new(),
             ready: BTreeSet::new(),
+            latest_turn: None,
         }
     }
 }
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the engine's decisions, with simulated runners and hosts in virtual time.
 
 mod balance;
+mod blocked;
 mod cancel;
 mod crash;
 mod doubt;
