fix(control): take starts that a lost executor may have made as unknown

Cause: a leader gives starts to executors in the runner's zone. If one is silent for 0.7 s, the leader carries its orders out itself, and reported the failure of its own copy as that of the start. A runner behind the cut can't be connected to, so the copy was "unsent", the run counted as never started, and the task started elsewhere, though the executor had started it just before the cut. An "old" answer, for a run that has ended meanwhile, led to another start as well.

Change: orders that a lost executor may have had are marked. If the leader's copy of such a start fails, the start is unknown, unless a later leader or another incarnation has answered. Orders that were still in the queue of the connection are first copies, as before.

Why it works: an unknown start is stopped, or repeated if the task is long-running, and the task starts elsewhere only after the runner shows that it lacks the run, or after the lease.

--- a/crates/control/src/drive/delegate.rs
+++ b/crates/control/src/drive/delegate.rs
@@ -30,7 +30,10 @@
         Cell,
         RefCell, //
     },
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     io,
     rc::Rc,
 };
@@ -62,6 +65,15 @@
 /// Largest number of orders that an executor holds; the leader carries out further ones itself.
 const OUTSTANDING_LIMIT: usize = 4_096;
 
+/// Whether another entry may have carried out an order before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Delivery {
+    /// Nobody has.
+    First,
+    /// An executor may have, or may yet do so.
+    Repeat,
+}
+
 /// An order that an executor was given.
 struct Given {
     order: Envelope<Order>,
@@ -138,11 +150,11 @@
     }
 
     /// Connects to the executor again and again until it is dismissed. Passes reports on to `report`, and the orders of a
-    /// failed executor to `carry_out`.
+    /// failed executor to `carry_out`, with whether the executor may have carried them out.
     pub(super) async fn run<F: Future<Output = ()>>(
         &self,
         report: impl Fn(Envelope<Report>) -> F,
-        carry_out: impl Fn(Envelope<Order>),
+        carry_out: impl Fn(Envelope<Order>, Delivery),
     ) {
         while !self.dismissed.get() {
             let connect = TcpStream::connect(self.executor.address);
@@ -152,10 +164,15 @@
                 let _ = self.serve(stream, &report).await;
                 self.connected.set(false);
             }
-            self.queue.borrow_mut().clear();
+            let unsent = self.queue.take();
+            let unsent: HashSet<u64> = unsent.into_iter().map(|(number, _)| number).collect();
             self.closed.borrow_mut().clear();
-            for (_, given) in self.given.take() {
-                carry_out(given.order);
+            for (number, given) in self.given.take() {
+                let delivery = match unsent.contains(&number) {
+                    true => Delivery::First,
+                    false => Delivery::Repeat,
+                };
+                carry_out(given.order, delivery);
             }
             if !self.dismissed.get() {
                 sleep(AVOID_TIME).await;
--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -4,6 +4,7 @@
     delegate::{
         self,
         Delegate, //
+        Delivery,
     },
     executor, //
 };
@@ -144,13 +145,13 @@
             None => Some(order),
         };
         if let Some(order) = kept {
-            self.spawn(order);
+            self.spawn(order, Delivery::First);
         }
     }
 
-    fn spawn(self: &Rc<Self>, order: Envelope<Order>) {
+    fn spawn(self: &Rc<Self>, order: Envelope<Order>, delivery: Delivery) {
         let shared = Rc::clone(self);
-        spawn_local(async move { shared.carry_out(order).await });
+        spawn_local(async move { shared.carry_out(order, delivery).await });
     }
 
     /// Replaces the executors. Those that stay keep their connections.
@@ -171,13 +172,13 @@
             delegates.push(Rc::clone(&delegate));
             let shared = Rc::clone(self);
             spawn_local(async move {
-                let carry_out = |order| shared.spawn(order);
+                let carry_out = |order, delivery| shared.spawn(order, delivery);
                 delegate.run(|report| shared.send(report), carry_out).await;
             });
         }
     }
 
-    async fn carry_out(&self, order: Envelope<Order>) {
+    async fn carry_out(&self, order: Envelope<Order>, delivery: Delivery) {
         let sent = self.clock.now();
         let answer = |clock, result| Answer {
             sent,
@@ -187,6 +188,11 @@
         let report = match order.content() {
             Order::Start(start) => {
                 let (clock, result) = self.runners.start(start).await;
+                // The task may run although this copy of the order has failed.
+                let result = result.map_err(|failure| match delivery {
+                    Delivery::First => failure,
+                    Delivery::Repeat => failure.of_repeat(),
+                });
                 Report::Start {
                     run: start.run,
                     answer: answer(clock, result),
--- a/crates/control/tests/executor.rs
+++ b/crates/control/tests/executor.rs
@@ -35,6 +35,8 @@
 };
 use sassafrascrank_job::{
     Id,
+    Job,
+    Policy,
     Repeat,
     Resource,
     Step,
@@ -56,7 +58,9 @@
     order::{
         self, Envelope,
         report::{
+            self,
             Approval,
+            Failure,
             Report,
             View, //
         },
@@ -68,10 +72,14 @@
 };
 use std::{
     collections::HashMap,
+    fmt::Write,
     net::TcpListener,
     sync::{
-        Arc,
-        Mutex, //
+        Arc, Mutex,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
     },
 };
 use tokio::{
@@ -86,6 +94,8 @@
 };
 
 const CAPACITY: usize = 256;
+/// Epoch of the leader.
+const EPOCH: u64 = 3;
 /// Longest wait for an expected condition.
 const LIMIT: Duration = Duration::from_secs(30);
 const RUNNERS: usize = 20;
@@ -93,9 +103,25 @@
 /// Names of the runners that an entry has polled.
 type Polled = Arc<Mutex<Vec<String>>>;
 
+/// What becomes of a start at the runners that an entry calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Starts {
+    /// It is answered.
+    Answered,
+    /// It is carried out, and the answer does not arrive.
+    Unanswered,
+    /// It fails in this way.
+    Failed(Failure),
+}
+
 /// A platform whose runners answer polls at once.
 #[derive(Clone)]
-struct Stub(Polled);
+struct Stub {
+    polled: Polled,
+    starts: Starts,
+    /// Number of starts.
+    started: Arc<AtomicUsize>,
+}
 
 /// What the drive thread does not use of a platform.
 #[derive(Clone, Copy)]
@@ -156,7 +182,12 @@
 
 impl Runners for Stub {
     async fn start(&self, _: &order::Start) -> Answer<()> {
-        (None, Ok(()))
+        self.started.fetch_add(1, Ordering::Relaxed);
+        match self.starts {
+            Starts::Answered => (None, Ok(())),
+            Starts::Unanswered => std::future::pending().await,
+            Starts::Failed(failure) => (None, Err(failure)),
+        }
     }
 
     async fn stop(&self, _: &order::Stop) -> Answer<()> {
@@ -164,7 +195,10 @@
     }
 
     async fn poll(&self, order: &order::Poll) -> Answer<View> {
-        self.0.lock().unwrap().push(order.target.id.to_string());
+        self.polled
+            .lock()
+            .unwrap()
+            .push(order.target.id.to_string());
         (Some(7), Ok(View::default()))
     }
 
@@ -219,6 +253,7 @@
 /// The drive thread of an entry.
 struct Entry {
     polled: Polled,
+    started: Arc<AtomicUsize>,
     requests: Sender<Request>,
     reports: Receiver<Envelope<Report>>,
     executor: Executor,
@@ -227,8 +262,16 @@
 }
 
 fn entry() -> Entry {
-    let polled = Polled::default();
-    let platform = Stub(Arc::clone(&polled));
+    entry_with(Starts::Answered)
+}
+
+fn entry_with(starts: Starts) -> Entry {
+    let (polled, started) = (Polled::default(), Arc::default());
+    let platform = Stub {
+        polled: Arc::clone(&polled),
+        starts,
+        started: Arc::clone(&started),
+    };
     let [signal, other] = [(); 2].map(|()| Signal::new());
     let (requests, receiver) = ring(CAPACITY, &signal);
     let (report_sender, reports) = ring(CAPACITY, &other);
@@ -258,6 +301,7 @@
     });
     Entry {
         polled,
+        started,
         requests,
         reports,
         executor,
@@ -269,11 +313,13 @@
     polled.lock().unwrap().len()
 }
 
-/// Returns the polls of a scheduler that has just begun to lead.
-fn polls() -> Vec<Envelope<order::Order>> {
-    let now = Time::from_millis(1_700_000_000_000);
+const NOW: Time = Time::from_millis(1_700_000_000_000);
+
+/// Returns a scheduler that has just begun to lead.
+fn engine() -> Engine {
+    let now = NOW;
     let takeover = Takeover {
-        epoch: 3,
+        epoch: EPOCH,
         runs_until: Time::MIN,
         hosts: HashMap::new(),
     };
@@ -294,7 +340,13 @@
         };
         engine.update_runner(Change::Set(listed), now);
     }
-    engine.tick(Permission::Start, now, now);
+    engine
+}
+
+/// Returns the polls of a scheduler that has just begun to lead.
+fn polls() -> Vec<Envelope<order::Order>> {
+    let mut engine = engine();
+    engine.tick(Permission::Start, NOW, NOW);
     let orders = engine.take_orders().into_iter();
     let polls = orders.filter(|order| matches!(order.content(), order::Order::Poll(_)));
     polls.collect()
@@ -391,6 +443,116 @@
     });
 }
 
+/// Returns the order of a scheduler to start a task.
+fn start() -> Envelope<order::Order> {
+    let mut engine = engine();
+    engine.tick(Permission::Start, NOW, NOW);
+    for poll in engine.take_orders() {
+        if let order::Order::Poll(order) = poll.content() {
+            let answer = report::Answer {
+                sent: NOW,
+                clock: Some(7),
+                result: Ok(View::default()),
+            };
+            let report = poll.reply(Report::Poll {
+                runner: order.target.runner,
+                acknowledged: 0,
+                answer,
+            });
+            engine.report(report, NOW);
+        }
+    }
+    engine.add(
+        Arc::new(Job {
+            id: Id(1),
+            queue: "queue".into(),
+            policy: Policy {
+                pool: "pool".into(),
+                priority: 0,
+                attempts: 2,
+                stretch: 1_600,
+                target: Duration::from_millis(600),
+            },
+            specification: "text".into(),
+            steps: [Step {
+                count: 1,
+                ..Step::default()
+            }]
+            .into(),
+            repeat: None,
+            submitted: NOW,
+        }),
+        NOW,
+    );
+    engine.tick(Permission::Start, NOW, NOW);
+    engine.take_records().expect("a run is planned");
+    engine.records_stored(NOW);
+    engine.tick(Permission::Start, NOW, NOW);
+    let mut orders = engine.take_orders().into_iter();
+    let start = orders.find(|order| matches!(order.content(), order::Order::Start(_)));
+    start.expect("the run starts")
+}
+
+/// Returns what a leader learns of a start that its executor has carried out without being able to report it, if the
+/// leader's own copy of the order has the given result.
+async fn repeated_start(starts: Starts) -> Result<(), Failure> {
+    let (mut leader, executor) = (entry_with(starts), entry_with(Starts::Unanswered));
+    let delegate = Request::Delegate(vec![executor.executor.clone()]);
+    assert!(leader.requests.send(delegate).is_ok());
+    while count(&executor.polled) == 0 {
+        poll_all(&mut leader).await;
+    }
+    assert!(leader.requests.send(Request::Order(start())).is_ok());
+    let started = Arc::clone(&executor.started);
+    wait_until("the executor starts the task", || {
+        started.load(Ordering::Relaxed) == 1
+    })
+    .await;
+    executor.end.send(()).expect("the executor runs");
+    let mut result = None;
+    wait_until("the start is reported", || {
+        let reports = core::iter::from_fn(|| leader.reports.try_recv());
+        for report in reports {
+            if let Report::Start { answer, .. } = report.content() {
+                result = Some(answer.result);
+            }
+        }
+        result.is_some()
+    })
+    .await;
+    result.expect("it was just set")
+}
+
+/// Guards against a task that runs twice: its first run is at a runner that only the executor could reach, before its
+/// availability zone was cut off, and the leader takes the failure of its own copy of the order for that of the start.
+#[test]
+fn start_that_a_lost_executor_may_have_made_is_unknown() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let failures = [
+            Failure::Unsent,
+            Failure::StaleAttempt,
+            Failure::LeaseExpired,
+            Failure::NoCapacity,
+            Failure::InvalidTicket,
+            Failure::Unhealthy,
+            Failure::Rejected,
+            Failure::Unknown,
+            Failure::Fenced,
+            Failure::Replaced,
+        ];
+        let mut table = String::new();
+        for failure in failures {
+            let result = repeated_start(Starts::Failed(failure)).await;
+            let result = result.map_err(Failure::as_str);
+            let _ = writeln!(table, "{}: {result:?}", failure.as_str());
+        }
+        let answered = repeated_start(Starts::Answered).await;
+        let _ = writeln!(table, "answered: {answered:?}");
+        insta::assert_snapshot!(table);
+    });
+}
+
 /// An order as a leader sends it.
 #[derive(serde::Serialize)]
 enum Action {
--- a/crates/schedule/src/order/report.rs
+++ b/crates/schedule/src/order/report.rs
@@ -38,6 +38,15 @@
 }
 
 impl Failure {
+    /// Returns the failure of an order of which an earlier copy may have been carried out, or may yet be. Most failures of
+    /// the later copy say nothing about the earlier one.
+    pub const fn of_repeat(self) -> Self {
+        match self {
+            Self::Fenced | Self::Replaced => self,
+            _ => Self::Unknown,
+        }
+    }
+
     /// Returns the name for logs.
     pub const fn as_str(self) -> &'static str {
         match self {
