feat(control): log executors that a leader gains and loses

A leader gave no sign of an executor that fell silent, so the start of a second run in the logs had to be explained from start-refused lines alone.

Change: the drive thread has a sink of its own, with lines executor-connected and executor-lost. The latter says why, and how many orders the executor had.

--- a/crates/control/src/drive/delegate.rs
+++ b/crates/control/src/drive/delegate.rs
@@ -25,6 +25,10 @@
         View, //
     },
 };
+use sassafrascrank_trace::{
+    Event,
+    Value, //
+};
 use std::{
     cell::{
         Cell,
@@ -150,18 +154,32 @@
     }
 
     /// Connects to the executor again and again until it is dismissed. Passes reports on to `report`, and the orders of a
-    /// failed executor to `carry_out`, with whether the executor may have carried them out.
+    /// failed executor to `carry_out`, with whether the executor may have carried them out. `record` gets a line for each
+    /// connection that is opened or lost.
     pub(super) async fn run<F: Future<Output = ()>>(
         &self,
         report: impl Fn(Envelope<Report>) -> F,
         carry_out: impl Fn(Envelope<Order>, Delivery),
+        record: impl Fn(Event),
     ) {
         while !self.dismissed.get() {
             let connect = TcpStream::connect(self.executor.address);
             if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connect).await {
                 self.connected.set(true);
-                // An error says no more than that the executor can't be used.
-                let _ = self.serve(stream, &report).await;
+                record(self.event("executor-connected"));
+                if let Err(error) = self.serve(stream, &report).await {
+                    let reason = match error.kind() {
+                        io::ErrorKind::TimedOut => "silent",
+                        _ => "disconnected",
+                    };
+                    let (given, unsent) = (self.given.borrow().len(), self.queue.borrow().len());
+                    let event = self
+                        .event("executor-lost")
+                        .with("reason", Value::Code(reason))
+                        .with("orders", Value::Count(given as u64))
+                        .with("unsent", Value::Count(unsent as u64));
+                    record(event);
+                }
                 self.connected.set(false);
             }
             let unsent = self.queue.take();
@@ -180,6 +198,13 @@
         }
     }
 
+    fn event(&self, name: &'static str) -> Event {
+        let address = self.executor.address.to_string();
+        Event::new(name, self.clock.now())
+            .with("by", Value::Text(address.into()))
+            .with("zone", Value::Text(self.executor.zone.clone()))
+    }
+
     async fn serve<F: Future<Output = ()>>(
         &self,
         stream: TcpStream,
--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -33,6 +33,7 @@
         },
     },
 };
+use sassafrascrank_trace::Sink;
 use std::{
     cell::RefCell,
     net,
@@ -57,6 +58,8 @@
     pub signal: Signal,
     /// Reports for the control thread.
     pub reports: Sender<Envelope<Report>>,
+    /// Log lines and metrics.
+    pub sink: Sink,
     /// The clock of the process.
     pub clock: Clock,
     /// Listener for leaders whose orders this entry carries out, if there is one.
@@ -86,6 +89,7 @@
     runners: P::Runners,
     fleet: P::Fleet,
     reports: RefCell<Sender<Envelope<Report>>>,
+    sink: RefCell<Sink>,
     clock: Clock,
     delegates: RefCell<Vec<Rc<Delegate>>>,
 }
@@ -96,6 +100,7 @@
         runners: drive.platform.runners(),
         fleet: drive.platform.fleet(),
         reports: RefCell::new(drive.reports),
+        sink: RefCell::new(drive.sink),
         clock: drive.clock,
         delegates: RefCell::default(),
     });
@@ -173,7 +178,10 @@
             let shared = Rc::clone(self);
             spawn_local(async move {
                 let carry_out = |order, delivery| shared.spawn(order, delivery);
-                delegate.run(|report| shared.send(report), carry_out).await;
+                let record = |event| shared.sink.borrow_mut().record(event);
+                delegate
+                    .run(|report| shared.send(report), carry_out, record)
+                    .await;
             });
         }
     }
--- a/crates/control/src/process/process.rs
+++ b/crates/control/src/process/process.rs
@@ -37,6 +37,7 @@
 use sassafrascrank_trace::{
     Event,
     Setup,
+    Sink,
     Source,
     sink, //
 };
@@ -70,6 +71,8 @@
 const ORDER_CAPACITY: usize = 4_096;
 /// Capacity of each ring of events for logs and metrics.
 const TRACE_CAPACITY: usize = 4_096;
+/// Log lines of the drive thread that wait to be written: at most two for each executor within 2 s.
+const DRIVE_TRACE_CAPACITY: usize = 64;
 
 /// The process can't start or a thread has panicked.
 #[derive(Debug)]
@@ -119,13 +122,12 @@
         let (notice_sender, notices) = ring(NOTICE_CAPACITY, &front_signal);
         let (request_sender, requests) = ring(REQUEST_CAPACITY, &store_signal);
         let (order_sender, orders) = ring(ORDER_CAPACITY, &drive_signal);
-        let (front_sink, front_source) = sink("front", TRACE_CAPACITY, &trace_wake);
-        let (mut control_sink, control_source) = sink("control", TRACE_CAPACITY, &trace_wake);
+        let ([front_sink, mut control_sink, drive_sink], sources) = sinks(&trace_wake);
         control_sink.record(Event::new("start", clock.now()));
         let [stop, trace_stop] = [(); 2].map(|()| Arc::new(AtomicBool::new(false)));
         let trace = Trace {
             process: Arc::clone(&settings.name),
-            sources: vec![front_source, control_source],
+            sources,
             wake: trace_wake.clone(),
             stop: Arc::clone(&trace_stop),
             metrics: listeners.metrics,
@@ -162,6 +164,7 @@
             requests: orders,
             signal: drive_signal,
             reports: report_sender,
+            sink: drive_sink,
             clock,
             executor: listeners.executor,
         };
@@ -241,6 +244,22 @@
     }
 }
 
+/// Returns the rings of log lines of the threads `front`, `control` and `drive`.
+fn sinks(wake: &Signal) -> ([Sink; 3], Vec<Source>) {
+    let threads = [
+        ("front", TRACE_CAPACITY),
+        ("control", TRACE_CAPACITY),
+        ("drive", DRIVE_TRACE_CAPACITY),
+    ];
+    let mut sources = Vec::new();
+    let sinks = threads.map(|(thread, capacity)| {
+        let (sink, source) = sink(thread, capacity, wake);
+        sources.push(source);
+        sink
+    });
+    (sinks, sources)
+}
+
 fn signals<const COUNT: usize>() -> [Signal; COUNT] {
     [(); COUNT].map(|()| Signal::new())
 }
--- a/crates/control/tests/executor.rs
+++ b/crates/control/tests/executor.rs
@@ -70,6 +70,10 @@
         Listed, //
     },
 };
+use sassafrascrank_trace::{
+    Source,
+    sink, //
+};
 use std::{
     collections::HashMap,
     fmt::Write,
@@ -256,6 +260,8 @@
     started: Arc<AtomicUsize>,
     requests: Sender<Request>,
     reports: Receiver<Envelope<Report>>,
+    /// Keeps the ring of the thread's log lines open.
+    _lines: Source,
     executor: Executor,
     /// Ends the thread and its connections.
     end: oneshot::Sender<()>,
@@ -272,7 +278,8 @@
         starts,
         started: Arc::clone(&started),
     };
-    let [signal, other] = [(); 2].map(|()| Signal::new());
+    let [signal, other, trace] = [(); 3].map(|()| Signal::new());
+    let (sink, source) = sink("drive", CAPACITY, &trace);
     let (requests, receiver) = ring(CAPACITY, &signal);
     let (report_sender, reports) = ring(CAPACITY, &other);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -289,6 +296,7 @@
             requests: receiver,
             signal,
             reports: report_sender,
+            sink,
             clock: Clock::new(),
             executor: Some(listener),
         };
@@ -304,6 +312,7 @@
         started,
         requests,
         reports,
+        _lines: source,
         executor,
         end,
     }
