refactor(schedule): name suspected crashes, and look for them only where there are any

The table of runners that stopped answering is one of suspicions, which are resolved as crashed or cleared. The state of a task is searched for in it only if the task counts crashes, since every stored task and every poll goes through it.

--- a/crates/job/src/progress/mod.rs
+++ b/crates/job/src/progress/mod.rs
@@ -6,6 +6,6 @@
     Assignment,
     Outcome,
     Progress,
-    Silence,
+    Suspicion,
     Task, //
 };
--- a/crates/job/src/progress/progress.rs
+++ b/crates/job/src/progress/progress.rs
@@ -31,9 +31,9 @@
     pub attempt: u32,
 }
 
-/// A runner that fell silent soon after it had started a task. Nobody knows yet whether it has crashed or is only cut off.
+/// A runner that stopped answering soon after it had started a task. It may have crashed, or may only be cut off.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Silence {
+pub struct Suspicion {
     /// Identity of the runner.
     pub runner: Arc<str>,
     /// Incarnation of the runner.
@@ -53,8 +53,8 @@
     pub failures: u16,
     /// Number of runners in a row that may have crashed because of the task.
     pub crashes: u8,
-    /// Those of them that have only fallen silent.
-    pub silences: Vec<Silence>,
+    /// Those of them that have only stopped answering.
+    pub suspicions: Vec<Suspicion>,
     /// Number of the last attempt that was ordered.
     pub attempt: u32,
     /// Attempts that may still be running.
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -23,7 +23,7 @@
         self,
         Assignment,
         Outcome,
-        Silence, //
+        Suspicion, //
     },
 };
 use sassafrascrank_base::prelude::*;
@@ -95,7 +95,7 @@
     done: bool,
     failures: u16,
     attempt: u32,
-    /// Runner, its incarnation, its host, attempt. The attempt is [`SILENCE`] for a runner that has fallen silent.
+    /// Runner, its incarnation, its host, attempt. A suspicion has the attempt [`SUSPICION`].
     assignments: Vec<(String, u64, String, u32)>,
     checkpoint: Option<String>,
     /// Left out if it is 0, so that entries of versions without it can read the record.
@@ -103,9 +103,9 @@
     crashes: u8,
 }
 
-/// Stands for the attempt in the row of a silence, since attempts count from 1. Entries of versions without silences take
-/// the row for a run that may be alive, which they look for in vain.
-const SILENCE: u32 = 0;
+/// Stands for the attempt in the row of a suspicion, since attempts count from 1. Entries of versions without suspicions
+/// take the row for a run that may be alive, and wait for it no longer than for any other.
+const SUSPICION: u32 = 0;
 
 fn is_zero(number: &u8) -> bool {
     *number == 0
@@ -318,9 +318,9 @@
             let host = at.host.to_string();
             (at.runner.to_string(), at.incarnation, host, at.attempt)
         };
-        let silence = |at: &Silence| {
+        let suspicion = |at: &Suspicion| {
             let host = at.host.to_string();
-            (at.runner.to_string(), at.incarnation, host, SILENCE)
+            (at.runner.to_string(), at.incarnation, host, SUSPICION)
         };
         let assignments = task.assignments.iter().map(row);
         Self {
@@ -329,7 +329,7 @@
             failures: task.failures,
             attempt: task.attempt,
             assignments: assignments
-                .chain(task.silences.iter().map(silence))
+                .chain(task.suspicions.iter().map(suspicion))
                 .collect(),
             checkpoint: task.checkpoint.as_deref().map(str::to_owned),
             crashes: task.crashes,
@@ -340,11 +340,11 @@
 impl From<WireTask> for progress::Task {
     fn from(wire: WireTask) -> Self {
         let (occurrence, step, index) = wire.position;
-        let (mut assignments, mut silences) = (Vec::new(), Vec::new());
+        let (mut assignments, mut suspicions) = (Vec::new(), Vec::new());
         for (runner, incarnation, host, attempt) in wire.assignments {
             let (runner, host) = (runner.into(), host.into());
             match attempt {
-                SILENCE => silences.push(Silence {
+                SUSPICION => suspicions.push(Suspicion {
                     runner,
                     incarnation,
                     host,
@@ -369,7 +369,7 @@
             assignments,
             checkpoint: wire.checkpoint.map(Arc::from),
             crashes: wire.crashes,
-            silences,
+            suspicions,
         }
     }
 }
--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -408,7 +408,7 @@
             && let Some(active) = self.jobs.remove(key)
         {
             self.job_index.remove(&active.job.id);
-            self.silences.retain(|(task, _)| task.job_key != key);
+            self.suspicions.retain(|(task, _)| task.job_key != key);
         }
     }
 
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -30,7 +30,7 @@
 use sassafrascrank_job::{
     Id,
     Policy,
-    progress::Silence, //
+    progress::Suspicion, //
 };
 use slotmap::SlotMap;
 use std::{
@@ -78,10 +78,10 @@
     pub(super) jobs: SlotMap<job::Key, ActiveJob>,
     pub(super) job_index: HashMap<Id, job::Key>,
     pub(super) runs: SlotMap<run::Key, Run>,
-    /// Runners that may have crashed because of a task, or may only be cut off; at most [`CRASH_LIMIT`] for each task.
+    /// Suspected crashes; at most [`CRASH_LIMIT`] for each task.
     ///
     /// [`CRASH_LIMIT`]: super::loss::CRASH_LIMIT
-    pub(super) silences: Vec<(TaskKey, Silence)>,
+    pub(super) suspicions: Vec<(TaskKey, Suspicion)>,
     /// Jobs whose latest state the log lacks.
     pub(super) dirty: Vec<job::Key>,
     /// Effects of decisions whose records were not taken yet.
@@ -121,7 +121,7 @@
             jobs: SlotMap::with_key(),
             job_index: HashMap::new(),
             runs: SlotMap::with_key(),
-            silences: Vec::new(),
+            suspicions: Vec::new(),
             dirty: Vec::new(),
             effects: Vec::new(),
             storing: None,
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -4,7 +4,7 @@
     Engine,
     engine::Effect,
     loss::Loss,
-    silence::Fate, //
+    suspicion::Verdict, //
 };
 use crate::{
     fleet::{
@@ -30,7 +30,7 @@
     runner,
 };
 use sassafrascrank_base::prelude::*;
-use sassafrascrank_job::progress::Silence;
+use sassafrascrank_job::progress::Suspicion;
 use std::sync::Arc;
 
 /// Time between two rounds of decisions on hosts, which go over all of them.
@@ -85,8 +85,8 @@
         }
         for listed in hosts {
             if listed.state == State::Down {
-                let on_host = |silence: &Silence| silence.host == listed.name;
-                self.resolve_silences(on_host, Fate::Crashed, "host-down", now);
+                let on_host = |suspicion: &Suspicion| suspicion.host == listed.name;
+                self.resolve_suspicions(on_host, Verdict::Crashed, "host-down", now);
             }
             self.set_host(listed, asked, now);
         }
@@ -379,8 +379,8 @@
         if let Some(runner) = ending {
             self.end_incarnation(runner, Loss::HostOrdered, now);
         }
-        let on_host = |silence: &Silence| silence.host == name;
-        self.resolve_silences(on_host, Fate::Innocent, "host-ordered", now);
+        let on_host = |suspicion: &Suspicion| suspicion.host == name;
+        self.resolve_suspicions(on_host, Verdict::Cleared, "host-ordered", now);
     }
 }
 
--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -202,7 +202,7 @@
             return;
         }
         // Whether a silent runner has crashed is known later.
-        let counted = loss != Loss::LeaseEnded || self.add_silence(run);
+        let counted = loss != Loss::LeaseEnded || self.add_suspicion(run);
         let active = self.jobs.get_mut(task.job_key);
         let state =
             active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
@@ -243,7 +243,7 @@
         let state = active.task(task.occurrence, task.step, task.index);
         let crashes = state.map_or(0, |state| usize::from(state.crashes));
         let limited = active.outcome.is_none() && !long_running;
-        limited && crashes >= usize::from(CRASH_LIMIT) + self.silences_of(task).count()
+        limited && crashes >= usize::from(CRASH_LIMIT) + self.suspicions_of(task).count()
     }
 
     /// Clears the tasks of the runs on a runner that have not crashed it in time. The log has to know that, since a later
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -17,9 +17,9 @@
 mod restore;
 mod run;
 mod runners;
-mod silence;
 mod store;
 mod straggler;
+mod suspicion;
 mod tick;
 mod wave;
 
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -108,7 +108,7 @@
             }
         }
         let task = TaskKey::new(key, position);
-        self.restore_silences(task, &kept.silences);
+        self.restore_suspicions(task, &kept.suspicions);
         for assignment in &kept.assignments {
             self.restore_run(task, assignment, now);
         }
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -153,15 +153,19 @@
                     step: step as u16,
                     index,
                 };
+                let suspicions = match task.crashes {
+                    0 => Vec::new(),
+                    _ => {
+                        let suspicions = self.suspicions_of(TaskKey::new(key, position));
+                        suspicions.cloned().collect()
+                    }
+                };
                 Some(progress::Task {
                     position,
                     done: task.state == job::State::Done,
                     failures: task.failures,
                     crashes: task.crashes,
-                    silences: self
-                        .silences_of(TaskKey::new(key, position))
-                        .cloned()
-                        .collect(),
+                    suspicions,
                     attempt: task.attempt,
                     assignments: self.assignments(task),
                     checkpoint: task.checkpoint.clone(),
--- /dev/null
+++ b/crates/schedule/src/engine/suspicion.rs
@@ -0,0 +1,171 @@
+//! Suspected crashes of runners that stopped answering soon after they had started a task.
+//!
+//! The task starts elsewhere once the lease has ended, whatever has become of the runner. But only crashes count against it
+//! for good, and a runner that does not answer may just be cut off.
+
+use super::{
+    Engine,
+    loss::{
+        CRASH_LIMIT,
+        Loss, //
+    },
+};
+use crate::{
+    job::{
+        Run,
+        TaskKey, //
+    },
+    note::{
+        Kind,
+        Note, //
+    },
+    runner::{
+        self,
+        Runner, //
+    },
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::progress::Suspicion;
+
+/// What a suspicion has turned out to be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Verdict {
+    /// The runner has crashed.
+    Crashed,
+    /// The runner has not crashed, or the leader has ended it by an order to its host.
+    Cleared,
+}
+
+impl Engine {
+    /// Suspects a lost run of having crashed its runner, and returns whether it did. A task has at most [`CRASH_LIMIT`]
+    /// suspicions.
+    pub(super) fn add_suspicion(&mut self, run: &Run) -> bool {
+        let Some(runner) = self.runners.get(run.runner) else {
+            return false;
+        };
+        if self.suspicions_of(run.task).count() >= usize::from(CRASH_LIMIT) {
+            return false;
+        }
+        let suspicion = Suspicion {
+            runner: runner.id.clone(),
+            incarnation: runner.incarnation,
+            host: runner.host.clone(),
+        };
+        self.suspicions.push((run.task, suspicion));
+        true
+    }
+
+    /// Returns the suspicions against a task.
+    pub(super) fn suspicions_of(&self, task: TaskKey) -> impl Iterator<Item = &Suspicion> {
+        let suspicions = self.suspicions.iter();
+        suspicions
+            .filter(move |(of, _)| *of == task)
+            .map(|(_, suspicion)| suspicion)
+    }
+
+    /// Clears a task of all crashes, known and suspected ones.
+    pub(super) fn clear_crashes(&mut self, task: TaskKey) {
+        let active = self.jobs.get_mut(task.job_key);
+        let state =
+            active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
+        if let Some(state) = state.filter(|state| state.crashes > 0) {
+            state.crashes = 0;
+            state.paused_until = Time::MIN;
+            self.suspicions.retain(|(of, _)| *of != task);
+            self.mark_dirty(task.job_key);
+        }
+    }
+
+    /// Restores the suspicions against a task from the log. Crashes of runners that are known to have ended are certain.
+    pub(super) fn restore_suspicions(&mut self, task: TaskKey, suspicions: &[Suspicion]) {
+        for suspicion in suspicions {
+            let ended = |runner: &Runner| is_followed_by(suspicion, runner);
+            if !self.runners.values().any(ended) {
+                self.suspicions.push((task, suspicion.clone()));
+            }
+        }
+    }
+
+    /// Handles that an incarnation of a runner has answered.
+    pub(super) fn refute_crashes(&mut self, key: runner::Key, now: Time) {
+        self.resolve_suspicions_of(key, Verdict::Cleared, "answered", now);
+    }
+
+    /// Handles that an incarnation of a runner has ended.
+    pub(super) fn settle_crashes(&mut self, key: runner::Key, loss: Loss, now: Time) {
+        let verdict = match loss {
+            Loss::HostOrdered => Verdict::Cleared,
+            _ => Verdict::Crashed,
+        };
+        self.resolve_suspicions_of(key, verdict, loss.as_str(), now);
+    }
+
+    /// Handles that a runner was added, which shows that earlier ones of its name or its host have ended.
+    pub(super) fn confirm_crashes(&mut self, key: runner::Key, now: Time) {
+        if self.suspicions.is_empty() {
+            return;
+        }
+        let runner = self.runners[key].clone();
+        let ended = |suspicion: &Suspicion| is_followed_by(suspicion, &runner);
+        self.resolve_suspicions(ended, Verdict::Crashed, "reborn", now);
+    }
+
+    fn resolve_suspicions_of(
+        &mut self,
+        key: runner::Key,
+        verdict: Verdict,
+        reason: &'static str,
+        now: Time,
+    ) {
+        if self.suspicions.is_empty() {
+            return;
+        }
+        let runner = &self.runners[key];
+        let (id, incarnation) = (runner.id.clone(), runner.incarnation);
+        let same =
+            |suspicion: &Suspicion| suspicion.incarnation == incarnation && suspicion.runner == id;
+        self.resolve_suspicions(same, verdict, reason, now);
+    }
+
+    /// Resolves the suspicions that match.
+    pub(super) fn resolve_suspicions(
+        &mut self,
+        matches: impl Fn(&Suspicion) -> bool,
+        verdict: Verdict,
+        reason: &'static str,
+        now: Time,
+    ) {
+        let resolved = self
+            .suspicions
+            .extract_if(.., |(_, suspicion)| matches(suspicion));
+        for (task, suspicion) in resolved.collect::<Vec<_>>() {
+            let Some(active) = self.jobs.get_mut(task.job_key) else {
+                continue;
+            };
+            let task_id = super::run::task_id(active.job.id, task);
+            let Some(state) = active.task_mut(task.occurrence, task.step, task.index) else {
+                continue;
+            };
+            if verdict == Verdict::Cleared {
+                state.crashes = state.crashes.saturating_sub(1);
+                if state.crashes < CRASH_LIMIT {
+                    state.paused_until = Time::MIN;
+                }
+            }
+            let kind = match verdict {
+                Verdict::Crashed => Kind::CrashConfirmed,
+                Verdict::Cleared => Kind::CrashRefuted,
+            };
+            let note = Note::new(kind, reason, now).with_task(task_id, state.attempt);
+            self.note(note.with_place(&suspicion.runner));
+            self.mark_dirty(task.job_key);
+            self.give_up_crashing(task, now);
+        }
+    }
+}
+
+/// Tells whether a runner shows that the suspected one has ended: it is a later one of the same name or on the same host.
+fn is_followed_by(suspicion: &Suspicion, runner: &Runner) -> bool {
+    let same_host = !suspicion.host.is_empty() && runner.host == suspicion.host;
+    (runner.id == suspicion.runner || same_host) && runner.incarnation > suspicion.incarnation
+}
--- a/crates/schedule/src/job/task.rs
+++ b/crates/schedule/src/job/task.rs
@@ -26,7 +26,7 @@
     pub state: State,
     /// Number of attempts that failed.
     pub failures: u16,
-    /// Number of runners in a row that may have crashed because of the task, with those that have only fallen silent.
+    /// Number of runners in a row that may have crashed because of the task, with those that have only stopped answering.
     pub crashes: u8,
     /// No run starts before this time, since too many runners may have crashed because of the task.
     pub paused_until: Time,
--- a/crates/schedule/src/note/note.rs
+++ b/crates/schedule/src/note/note.rs
@@ -44,9 +44,9 @@
     Lost = "run-lost";
     /// A run was lost that may have crashed its runner.
     CrashSuspected = "crash-suspected";
-    /// A runner that had fallen silent after the start of a task has crashed.
+    /// A runner that stopped answering soon after the start of a task has crashed.
     CrashConfirmed = "crash-confirmed";
-    /// A runner that had fallen silent after the start of a task has not crashed, or the task is not the cause.
+    /// A runner that stopped answering soon after the start of a task has not crashed, or the leader has ended it.
     CrashRefuted = "crash-refuted";
     /// A run that a former leader started is alive.
     Adopted = "run-adopted";
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -15,5 +15,5 @@
 mod pending;
 mod place;
 mod report;
-mod silence;
 mod straggler;
+mod suspicion;
--- a/crates/tool/tests/jobs.rs
+++ b/crates/tool/tests/jobs.rs
@@ -73,7 +73,7 @@
         done,
         failures,
         crashes: 0,
-        silences: Vec::new(),
+        suspicions: Vec::new(),
         attempt: u32::from(failures) + 1,
         assignments: places.iter().map(place).collect(),
         checkpoint: None,
