--- a/crates/control/src/drive/delegate.rs
+++ b/crates/control/src/drive/delegate.rs
@@ -168,17 +168,7 @@
                 self.connected.set(true);
                 record(self.event("executor-connected"));
                 if let Err(error) = self.serve(stream, &report).await {
-                    let reason = match error.kind() {
-                        io::ErrorKind::TimedOut => "silent",
-                        _ => "disconnected",
-                    };
-                    let (given, unsent) = (self.given.borrow().len(), self.queue.borrow().len());
-                    let event = self
-                        .event("executor-lost")
-                        .with("reason", Value::Code(reason))
-                        .with("orders", Value::Count(given as u64))
-                        .with("unsent", Value::Count(unsent as u64));
-                    record(event);
+                    record(self.loss(&error));
                 }
                 self.connected.set(false);
             }
@@ -198,6 +188,19 @@
         }
     }
 
+    /// Returns the log line of a connection that has failed.
+    fn loss(&self, error: &io::Error) -> Event {
+        let reason = match error.kind() {
+            io::ErrorKind::TimedOut => "silent",
+            _ => "disconnected",
+        };
+        let (given, unsent) = (self.given.borrow().len(), self.queue.borrow().len());
+        self.event("executor-lost")
+            .with("reason", Value::Code(reason))
+            .with("orders", Value::Count(given as u64))
+            .with("unsent", Value::Count(unsent as u64))
+    }
+
     fn event(&self, name: &'static str) -> Event {
         let address = self.executor.address.to_string();
         Event::new(name, self.clock.now())
--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -3,8 +3,8 @@
 use super::{
     delegate::{
         self,
-        Delegate, //
-        Delivery,
+        Delegate,
+        Delivery, //
     },
     executor, //
 };
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -58,6 +58,7 @@
         }
     }
 
+    /// Tells whether a former leader would have given the job up if it had known which runners have ended.
     fn is_given_up(&self, key: job::Key, progress: &Progress) -> bool {
         let mut tasks = progress.tasks.iter();
         tasks.any(|task| self.has_crashed_too_often(TaskKey::new(key, task.position)))
