refactor(schedule): resolve suspicions in one place, and look up tasks by one method

Adding a runner cloned it to compare it with the suspicions, and each answered poll cloned its name; both compare in place now. The two searches by host are one method. The lookup of a task by its key, written three times, is Engine::task_mut. A step that needs more than one for which no runner had room is not checked against all runners again.

--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -216,6 +216,12 @@
         key
     }
 
+    /// Returns the state of a task of an active job.
+    pub(super) fn task_mut(&mut self, task: TaskKey) -> Option<&mut job::Task> {
+        let active = self.jobs.get_mut(task.job_key)?;
+        active.task_mut(task.occurrence, task.step, task.index)
+    }
+
     pub(super) fn mark_dirty(&mut self, key: job::Key) {
         if let Some(active) = self.jobs.get_mut(key)
             && !active.dirty
--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -30,7 +30,6 @@
     runner,
 };
 use sassafrascrank_base::prelude::*;
-use sassafrascrank_job::progress::Suspicion;
 use std::sync::Arc;
 
 /// Time between two rounds of decisions on hosts, which go over all of them.
@@ -85,8 +84,7 @@
         }
         for listed in hosts {
             if listed.state == State::Down {
-                let on_host = |suspicion: &Suspicion| suspicion.host == listed.name;
-                self.resolve_suspicions(on_host, Verdict::Crashed, "host-down", now);
+                self.resolve_suspicions_on(&listed.name, Verdict::Crashed, "host-down", now);
             }
             self.set_host(listed, asked, now);
         }
@@ -365,22 +363,20 @@
 
     /// Records that an order to a host was carried out, which ends the runner that it had.
     fn mark_carried_out(&mut self, key: host::Key, now: Time) {
+        let name = Arc::clone(&self.fleet.hosts[key].listed.name);
+        self.resolve_suspicions_on(&name, Verdict::Cleared, "host-ordered", now);
         let host = &mut self.fleet.hosts[key];
         host.carried_out = true;
-        let name = Arc::clone(&host.listed.name);
         let ending = host.ending_runner.take();
         if let Some(Operation::Maintain(wave)) = host.operation
             && let Some(wave) = self.fleet.waves.get_mut(&wave)
             && wave.begun.insert(Arc::clone(&name))
         {
-            let begun = Some(Arc::clone(&name));
-            self.fleet.unstored_waves.push((wave.number, begun));
+            self.fleet.unstored_waves.push((wave.number, Some(name)));
         }
         if let Some(runner) = ending {
             self.end_incarnation(runner, Loss::HostOrdered, now);
         }
-        let on_host = |suspicion: &Suspicion| suspicion.host == name;
-        self.resolve_suspicions(on_host, Verdict::Cleared, "host-ordered", now);
     }
 }
 
--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -203,10 +203,7 @@
         }
         // Whether a silent runner has crashed is known later.
         let counted = loss != Loss::LeaseEnded || self.add_suspicion(run);
-        let active = self.jobs.get_mut(task.job_key);
-        let state =
-            active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
-        if let Some(state) = state {
+        if let Some(state) = self.task_mut(task) {
             state.crashes = state.crashes.saturating_add(u8::from(counted));
             pause(state, now);
         }
@@ -224,10 +221,7 @@
     /// Counts a run of an earlier leader whose runner has ended before this leader could ask it. The earlier leader may
     /// have seen that, but its count is not in the log.
     pub(super) fn count_ended_assignment(&mut self, task: TaskKey) {
-        let active = self.jobs.get_mut(task.job_key);
-        let state =
-            active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
-        if let Some(state) = state {
+        if let Some(state) = self.task_mut(task) {
             state.crashes = state.crashes.saturating_add(1);
             self.mark_dirty(task.job_key);
         }
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -129,6 +129,7 @@
         }
         unplaced.steps.push(step);
         if let Some(need) = self.step_spec(rank.task).map(Step::reserved)
+            && !unplaced.exceeds_room(need)
             && !self.has_room(pool, need, now)
         {
             unplaced.needs.push(need);
--- a/crates/schedule/src/engine/suspicion.rs
+++ b/crates/schedule/src/engine/suspicion.rs
@@ -65,9 +65,7 @@
 
     /// Clears a task of all crashes, known and suspected ones.
     pub(super) fn clear_crashes(&mut self, task: TaskKey) {
-        let active = self.jobs.get_mut(task.job_key);
-        let state =
-            active.and_then(|active| active.task_mut(task.occurrence, task.step, task.index));
+        let state = self.task_mut(task);
         if let Some(state) = state.filter(|state| state.crashes > 0) {
             state.crashes = 0;
             state.paused_until = Time::MIN;
@@ -102,12 +100,23 @@
 
     /// Handles that a runner was added, which shows that earlier ones of its name or its host have ended.
     pub(super) fn confirm_crashes(&mut self, key: runner::Key, now: Time) {
-        if self.suspicions.is_empty() {
-            return;
-        }
-        let runner = self.runners[key].clone();
-        let ended = |suspicion: &Suspicion| is_followed_by(suspicion, &runner);
-        self.resolve_suspicions(ended, Verdict::Crashed, "reborn", now);
+        let runner = &self.runners[key];
+        let ended = |(_, suspicion): &mut _| is_followed_by(suspicion, runner);
+        let resolved = self.suspicions.extract_if(.., ended).collect();
+        self.resolve_suspicions(resolved, Verdict::Crashed, "reborn", now);
+    }
+
+    /// Resolves the suspicions against tasks whose runners were on a host.
+    pub(super) fn resolve_suspicions_on(
+        &mut self,
+        host: &str,
+        verdict: Verdict,
+        reason: &'static str,
+        now: Time,
+    ) {
+        let on_host = |(_, suspicion): &mut (_, Suspicion)| *suspicion.host == *host;
+        let resolved = self.suspicions.extract_if(.., on_host).collect();
+        self.resolve_suspicions(resolved, verdict, reason, now);
     }
 
     fn resolve_suspicions_of(
@@ -117,28 +126,22 @@
         reason: &'static str,
         now: Time,
     ) {
-        if self.suspicions.is_empty() {
-            return;
-        }
         let runner = &self.runners[key];
-        let (id, incarnation) = (runner.id.clone(), runner.incarnation);
-        let same =
-            |suspicion: &Suspicion| suspicion.incarnation == incarnation && suspicion.runner == id;
-        self.resolve_suspicions(same, verdict, reason, now);
+        let same = |(_, suspicion): &mut (_, Suspicion)| {
+            suspicion.incarnation == runner.incarnation && suspicion.runner == runner.id
+        };
+        let resolved = self.suspicions.extract_if(.., same).collect();
+        self.resolve_suspicions(resolved, verdict, reason, now);
     }
 
-    /// Resolves the suspicions that match.
-    pub(super) fn resolve_suspicions(
+    fn resolve_suspicions(
         &mut self,
-        matches: impl Fn(&Suspicion) -> bool,
+        resolved: Vec<(TaskKey, Suspicion)>,
         verdict: Verdict,
         reason: &'static str,
         now: Time,
     ) {
-        let resolved = self
-            .suspicions
-            .extract_if(.., |(_, suspicion)| matches(suspicion));
-        for (task, suspicion) in resolved.collect::<Vec<_>>() {
+        for (task, suspicion) in resolved {
             let Some(active) = self.jobs.get_mut(task.job_key) else {
                 continue;
             };
@@ -146,15 +149,15 @@
             let Some(state) = active.task_mut(task.occurrence, task.step, task.index) else {
                 continue;
             };
-            if verdict == Verdict::Cleared {
-                state.crashes = state.crashes.saturating_sub(1);
-                if state.crashes < CRASH_LIMIT {
-                    state.paused_until = Time::MIN;
-                }
-            }
             let kind = match verdict {
                 Verdict::Crashed => Kind::CrashConfirmed,
-                Verdict::Cleared => Kind::CrashRefuted,
+                Verdict::Cleared => {
+                    state.crashes = state.crashes.saturating_sub(1);
+                    if state.crashes < CRASH_LIMIT {
+                        state.paused_until = Time::MIN;
+                    }
+                    Kind::CrashRefuted
+                }
             };
             let note = Note::new(kind, reason, now).with_task(task_id, state.attempt);
             self.note(note.with_place(&suspicion.runner));
