fix(schedule): keep jobs whose runners crash for other reasons

What callers saw: a job was shown as `failed` with the reason `crashes` although no task of it had failed and none crashes its runners. It had started three times in a row on runners that crashed for other reasons within 0.5 s.

Cause: three crashes soon after the starts were taken for proof, whatever else crashed at the time.

Change: one place (`engine/crash.rs`) decides. The leader remembers the crashes of the last 20 s with the tasks that may have caused each. A task that runs elsewhere without a crash is no longer suspected, so a crash without suspects has another cause. After three crashes a task starts again, at most twice, if such a crash is among the others; otherwise its job is given up, at the end of the pause if the task has no run. Five starts are what the rule on such tasks allows. A runner with a suspected task is asked as soon as its trial ends, not up to 0.3 s later, so a later crash isn't counted. `crash-judged` and `crash-weighed` log the evidence.

--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -1,5 +1,6 @@
 //! The engine: state of the scheduler on the leader.
 
+use super::crash::Crash;
 use crate::{
     Config, Note, Order, Rules,
     fleet::{
@@ -80,8 +81,12 @@
     pub(super) runs: SlotMap<run::Key, Run>,
     /// Suspected crashes; at most [`CRASH_LIMIT`] for each task.
     ///
-    /// [`CRASH_LIMIT`]: super::loss::CRASH_LIMIT
+    /// [`CRASH_LIMIT`]: super::crash::CRASH_LIMIT
     pub(super) suspicions: Vec<(TaskKey, Suspicion)>,
+    /// Crashes of runners in the time of this leader, the latest ones.
+    pub(super) crashes: Vec<Crash>,
+    /// Tasks of which it is open whether they crash their runners, until their pauses end.
+    pub(super) open_findings: Vec<TaskKey>,
     /// Jobs whose latest state the log lacks.
     pub(super) dirty: Vec<job::Key>,
     /// Effects of decisions whose records were not taken yet.
@@ -122,6 +127,8 @@
             job_index: HashMap::new(),
             runs: SlotMap::with_key(),
             suspicions: Vec::new(),
+            crashes: Vec::new(),
+            open_findings: Vec::new(),
             dirty: Vec::new(),
             effects: Vec::new(),
             storing: None,
--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -1,6 +1,9 @@
 //! Runs whose end was not reported, and tasks that crash their runners.
 
-use super::Engine;
+use super::{
+    Engine,
+    crash::CRASH_LIMIT, //
+};
 use crate::{
     job::{
         self, Run, TaskKey,
@@ -16,14 +19,10 @@
     },
 };
 use sassafrascrank_base::prelude::*;
-use sassafrascrank_job::progress::Outcome;
 
 /// Time after its start in which a task that crashes its runner does so. A task that runs for longer is not the cause of
 /// what happens to its runner.
 const CRASH_WINDOW: Duration = Duration::from_millis(500);
-/// Number of runners that a task may crash before its job is given up. A runner that crashes takes its other tasks along.
-/// Two crashes can be bad luck, since the cause is known only once a task starts apart from other suspected ones.
-pub(super) const CRASH_LIMIT: u8 = 3;
 /// Time without a start after the loss of a task that may have crashed [`CRASH_LIMIT`] runners or more. A runner that has
 /// crashed is usually back within this time, and so known to have crashed. It also limits how fast a long-running task,
 /// which is never given up, ends what runs on other runners.
@@ -88,7 +87,7 @@
 }
 
 /// Tells whether the runner has answered so long after the start of a run that the run has not crashed it.
-fn has_outlived_trial(run: &Run, runner: &Runner) -> bool {
+pub(super) fn has_outlived_trial(run: &Run, runner: &Runner) -> bool {
     // Answers of a later incarnation say nothing about an earlier one.
     let alive_at = match run.moved {
         true => run.alive_at,
@@ -107,6 +106,13 @@
     run.crashes > 0 && is_recent(run, now)
 }
 
+/// Returns the time until the runner of a run on trial has to be asked whether it still works; `None` for other runs. A
+/// poll that is held open for longer would leave a later crash to the task.
+pub(super) fn trial_time_left(run: &Run, runner: &Runner, now: Time) -> Option<Duration> {
+    let begun = begun_at(run).filter(|_| run.crashes > 0 && !has_outlived_trial(run, runner))?;
+    Some((begun + CRASH_WINDOW).since(now))
+}
+
 /// Pauses a task that may have crashed too many runners.
 pub(super) fn pause(task: &mut job::Task, now: Time) {
     if task.crashes >= CRASH_LIMIT {
@@ -211,13 +217,6 @@
         self.give_up_crashing(task, now);
     }
 
-    /// Ends the job of a task that has crashed too many runners.
-    pub(super) fn give_up_crashing(&mut self, task: TaskKey, now: Time) {
-        if self.has_crashed_too_often(task) {
-            self.finish_job(task.job_key, Outcome::Failed, "crashes", now);
-        }
-    }
-
     /// Counts a run of an earlier leader whose runner has ended before this leader could ask it. The earlier leader may
     /// have seen that, but its count is not in the log.
     pub(super) fn count_ended_assignment(&mut self, task: TaskKey) {
@@ -227,19 +226,6 @@
         }
     }
 
-    /// Tells whether a task crashes its runners again and again, so that its job is given up. Runners that are only silent
-    /// do not count, and long-running tasks are restarted however they end.
-    pub(super) fn has_crashed_too_often(&self, task: TaskKey) -> bool {
-        let Some(active) = self.jobs.get(task.job_key) else {
-            return false;
-        };
-        let long_running = active.job.steps[usize::from(task.step)].long_running;
-        let state = active.task(task.occurrence, task.step, task.index);
-        let crashes = state.map_or(0, |state| usize::from(state.crashes));
-        let limited = active.outcome.is_none() && !long_running;
-        limited && crashes >= usize::from(CRASH_LIMIT) + self.suspicions_of(task).count()
-    }
-
     /// Clears the tasks of the runs on a runner that have not crashed it in time. The log has to know that, since a later
     /// leader can't tell how long a run has gone on.
     pub(super) fn clear_suspects(&mut self, key: runner::Key) {
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod advice;
 mod balance;
+mod crash;
 mod doubt;
 mod end;
 mod engine;
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -2,7 +2,10 @@
 
 use super::{
     Engine,
-    loss::Loss, //
+    loss::{
+        self,
+        Loss, //
+    },
 };
 use crate::{
     job::{
@@ -50,7 +53,7 @@
             let Some(target) = self.target(key) else {
                 continue;
             };
-            let wait = self.poll_wait(&self.runners[key]);
+            let wait = self.poll_wait(&self.runners[key], now);
             let rules = self.rules;
             let runner = &mut self.runners[key];
             runner.poll_sent = Some(now);
@@ -77,7 +80,7 @@
     }
 
     /// Returns how long a runner may hold a poll open until a run ends.
-    fn poll_wait(&self, runner: &Runner) -> Duration {
+    fn poll_wait(&self, runner: &Runner, now: Time) -> Duration {
         // A runner answers at once while it has ends that were not acknowledged.
         let answers_at_once =
             !runner.fenced || runner.misses > 0 || runner.durable_end < runner.last_end;
@@ -92,10 +95,13 @@
                 .is_some_and(|step| step.long_running);
             long_running && matches!(run.stage, Stage::Running | Stage::Planned)
         };
-        match runner.runs.iter().all(is_quiet) {
+        let wait = match runner.runs.iter().all(is_quiet) {
             true => self.rules.poll_wait,
             false => SHORT_WAIT.min(self.rules.poll_wait),
-        }
+        };
+        let trials = runner.runs.iter().map(|&run| &self.runs[run]);
+        let trials = trials.filter_map(|run| loss::trial_time_left(run, runner, now));
+        trials.fold(wait, Duration::min)
     }
 
     /// Handles the answer to a poll.
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -25,8 +25,7 @@
     Progress,
     progress::{
         self,
-        Assignment,
-        Outcome, //
+        Assignment, //
     },
     replica::Entry,
 };
@@ -51,19 +50,15 @@
         }
         match outcome {
             Some(outcome) => self.finish_job(key, outcome, "inherited", now),
-            None if progress.is_some_and(|progress| self.is_given_up(key, progress)) => {
-                self.finish_job(key, Outcome::Failed, "crashes", now);
+            None => {
+                self.open_due_occurrences(key, wall, now);
+                for task in progress.iter().flat_map(|progress| &progress.tasks) {
+                    self.restore_finding(TaskKey::new(key, task.position), now);
+                }
             }
-            None => self.open_due_occurrences(key, wall, now),
         }
     }
 
-    /// Tells whether a former leader would have given the job up if it had known which runners have ended.
-    fn is_given_up(&self, key: job::Key, progress: &Progress) -> bool {
-        let mut tasks = progress.tasks.iter();
-        tasks.any(|task| self.has_crashed_too_often(TaskKey::new(key, task.position)))
-    }
-
     fn restore_progress(&mut self, key: job::Key, progress: &Progress, now: Time) {
         let active = &mut self.jobs[key];
         active.begun = progress.begun;
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -91,6 +91,7 @@
         let key = self.runners.insert(runner);
         if let Some(&former) = self.runner_index.get(&id) {
             self.mark_rack_failure(former);
+            self.record_crash(former, now);
             self.move_runs(former, key, now);
             self.end_incarnation(former, Loss::Reborn, now);
         }
@@ -184,6 +185,10 @@
         let id = runner.id.clone();
         let runs = runner.runs.clone();
         self.mark_rack_failure(key);
+        // The crash of an incarnation that has come back under its name was recorded before its runs were moved.
+        if matches!(loss, Loss::HostReused | Loss::Replaced) {
+            self.record_crash(key, now);
+        }
         for run in runs {
             self.lose(run, loss, now);
         }
--- a/crates/schedule/src/engine/suspicion.rs
+++ b/crates/schedule/src/engine/suspicion.rs
@@ -5,10 +5,8 @@
 
 use super::{
     Engine,
-    loss::{
-        CRASH_LIMIT,
-        Loss, //
-    },
+    crash::CRASH_LIMIT,
+    loss::Loss, //
 };
 use crate::{
     job::{
@@ -65,6 +63,7 @@
 
     /// Clears a task of all crashes, known and suspected ones.
     pub(super) fn clear_crashes(&mut self, task: TaskKey) {
+        self.acquit(task);
         let state = self.task_mut(task);
         if let Some(state) = state.filter(|state| state.crashes > 0) {
             state.crashes = 0;
--- a/crates/schedule/src/engine/tick.rs
+++ b/crates/schedule/src/engine/tick.rs
@@ -29,6 +29,7 @@
         let may_order = permission != Permission::Observe;
         self.open_repeated(wall, now);
         self.expire_leases(now);
+        self.close_findings(now);
         if may_order {
             if may_start {
                 self.start_stored(now);
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -9,6 +9,7 @@
 mod fail;
 mod harness;
 mod host;
+mod innocent;
 mod lease;
 mod note;
 mod pace;
