feat(control): log the ages of what a leader relies on

When queues stood, the logs did not tell whether the leader could not read the log, could not append, or saw no room. Log lines of the leader's appends and orders were missing: `activity` had 13 fields, and an event keeps seven.

- `starts-paused` and `starts-resumed`, a line at each change: reason, age of the last read, age of the last append that was confirmed.

--- a/crates/control/src/control/activity.rs
+++ b/crates/control/src/control/activity.rs
@@ -59,27 +59,29 @@
         let event = Event::new("activity", now)
             .with("age", Value::Duration(now.since(self.read_started)))
             .with("read", Value::Count(activity.records_read));
-        let event = match &self.engine {
-            None => event,
-            Some(engine) => {
-                let (jobs, runs, ready) = engine.counts();
-                event
-                    .with("jobs", Value::Count(jobs as u64))
-                    .with("runs", Value::Count(runs as u64))
-                    .with("ready", Value::Count(ready as u64))
-                    .with("decisions", Value::Count(activity.decisions))
-                    .with("deciding", Value::Duration(activity.decision_time))
-                    .with("appends", Value::Count(activity.appends))
-                    .with("appended", Value::Count(activity.records_appended))
-                    .with(
-                        "append-mean",
-                        Value::Duration(mean(activity.append_time, activity.appends)),
-                    )
-                    .with("append-max", Value::Duration(activity.append_time_max))
-                    .with("orders", Value::Count(activity.orders))
-                    .with("reports", Value::Count(activity.reports))
-            }
+        let Some(engine) = &self.engine else {
+            self.out.events.push(event.low_priority());
+            return;
         };
+        let (jobs, runs, ready) = engine.counts();
+        let event = event
+            .with("jobs", Value::Count(jobs as u64))
+            .with("runs", Value::Count(runs as u64))
+            .with("ready", Value::Count(ready as u64))
+            .with("decisions", Value::Count(activity.decisions))
+            .with("deciding", Value::Duration(activity.decision_time));
+        let unconfirmed = now.since(self.election.confirmed_at());
+        let append_mean = mean(activity.append_time, activity.appends);
+        // An event has few fields, so the leader's appends have a line of their own.
+        let appends = Event::new("leader-appends", now)
+            .with("age", Value::Duration(unconfirmed))
+            .with("appends", Value::Count(activity.appends))
+            .with("appended", Value::Count(activity.records_appended))
+            .with("append-mean", Value::Duration(append_mean))
+            .with("append-max", Value::Duration(activity.append_time_max))
+            .with("orders", Value::Count(activity.orders))
+            .with("reports", Value::Count(activity.reports));
         self.out.events.push(event.low_priority());
+        self.out.events.push(appends.low_priority());
     }
 }
--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -107,6 +107,8 @@
     /// When a record of a leader other than this entry's present claim was last read. Until then, leaders before the
     /// next claim may have given orders, this entry among them.
     pub(super) predecessor_observed: Time,
+    /// Whether the leader may start tasks, as far as the log tells.
+    pub(super) may_start: bool,
     /// Whether an append of the leader is in progress.
     pub(super) append_pending: bool,
     /// When the last append of the leader was requested.
@@ -151,6 +153,7 @@
             append_failed_at: None,
             log_reachable: true,
             predecessor_observed: Time::MIN,
+            may_start: false,
             append_pending: false,
             last_append: Time::MIN,
             notes_flushed: Time::MIN,
--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -236,6 +236,7 @@
             .with("runners", Value::Count(claim.runners.len() as u64));
         self.out.events.push(event);
         self.engine = Some(engine);
+        self.may_start = true;
         self.append_pending = false;
     }
 
@@ -248,9 +249,43 @@
         }
     }
 
+    /// Logs when the leader stops starting tasks, and when it goes on.
+    fn log_permission(&mut self, permission: Permission, now: Time) {
+        let may_start = permission == Permission::Start;
+        if self.may_start == may_start {
+            return;
+        }
+        self.may_start = may_start;
+        let event = match permission {
+            Permission::Start => Event::new("starts-resumed", now),
+            Permission::Keep => {
+                Event::new("starts-paused", now).with("reason", Value::Code("reads-old"))
+            }
+            Permission::Observe => {
+                Event::new("starts-paused", now).with("reason", Value::Code("lease-ended"))
+            }
+        };
+        let event = self.with_ages(event, now);
+        self.out.events.push(event);
+    }
+
+    /// Adds to an event the ages of what a leader relies on: its last read of the jobs, by its beginning, and its last
+    /// confirmed append.
+    fn with_ages(&self, event: Event, now: Time) -> Event {
+        let event = event.with("age", Value::Duration(now.since(self.read_started)));
+        match self.election.confirmed_at() {
+            Time::MIN => event,
+            at => event.with("unconfirmed", Value::Duration(now.since(at))),
+        }
+    }
+
     /// Lets the scheduler decide, and passes on its orders, notes and records.
     pub(super) fn run_engine(&mut self, wall: Time, now: Time) {
+        if self.engine.is_none() {
+            return;
+        }
         let permission = self.permission(now);
+        self.log_permission(permission, now);
         let Some(engine) = &mut self.engine else {
             return;
         };
@@ -346,7 +381,16 @@
 
     /// Gives up the lead or the claim.
     pub(super) fn lose_role(&mut self, reason: &'static str, now: Time) {
-        let event = Event::new("role-lost", now).with("reason", Value::Code(reason));
+        let role = match self.engine {
+            Some(_) => "leader",
+            None => "candidate",
+        };
+        let epoch = self.claim.as_ref().map_or(0, |claim| claim.epoch);
+        let event = Event::new("role-lost", now)
+            .with("reason", Value::Code(reason))
+            .with("role", Value::Code(role))
+            .with("epoch", Value::Count(epoch));
+        let event = self.with_ages(event, now);
         self.out.events.push(event);
         self.flush_notes(now);
         self.election.step_down(now);
@@ -383,6 +427,8 @@
         self.engine = None;
         self.claim = None;
         self.out.requests.push(store::Request::Write(records));
-        self.out.events.push(Event::new("resigned", now));
+        let event = Event::new("resigned", now).with("epoch", Value::Count(epoch));
+        let event = self.with_ages(event, now);
+        self.out.events.push(event);
     }
 }
--- a/crates/control/src/control/membership.rs
+++ b/crates/control/src/control/membership.rs
@@ -43,6 +43,8 @@
     roster: Option<Roster>,
     /// Whether this entry reads the jobs because it holds a seat.
     seated: bool,
+    /// Whether this entry has asked for the removal of its seat's record since it last took a seat.
+    gives_up_seat: bool,
     /// Generation of the reads of the jobs.
     generation: u64,
     /// Whether the first read of the generation has not arrived yet.
@@ -139,6 +141,7 @@
         if !self.stopping
             && let Action::Write(key, candidate) = roster.act(leads, now)
         {
+            self.membership.gives_up_seat |= candidate.is_none();
             self.out
                 .requests
                 .push(Request::WriteSeat { key, candidate });
@@ -172,6 +175,7 @@
 
     fn begin_to_follow(&mut self, now: Time) {
         self.membership.seated = true;
+        self.membership.gives_up_seat = false;
         self.membership.generation += 1;
         self.membership.awaits_all = true;
         self.set_follower_reads();
@@ -186,7 +190,17 @@
         self.election.forget();
         self.fail_lookups();
         self.set_follower_reads();
-        self.out.events.push(Event::new("seat-lost", now));
+        let roster = self.membership.roster.as_ref();
+        let read_started = roster.map_or(Time::MIN, Roster::read_started);
+        let reason = match self.membership.gives_up_seat {
+            true => "given-up",
+            false => "taken",
+        };
+        self.membership.gives_up_seat = false;
+        let event = Event::new("seat-lost", now)
+            .with("reason", Value::Code(reason))
+            .with("age", Value::Duration(now.since(read_started)));
+        self.out.events.push(event);
     }
 
     /// Lets the store thread read what an entry that does not lead needs.
--- a/crates/lead/src/election/election.rs
+++ b/crates/lead/src/election/election.rs
@@ -149,6 +149,11 @@
         self.observed_at
     }
 
+    /// Returns when the last confirmed append of this entry as the leader started.
+    pub fn confirmed_at(&self) -> Time {
+        self.confirmed_at
+    }
+
     /// Records the result of a read of the log that started at `started` and ended at `now`.
     pub fn record_read(&mut self, success: bool, started: Time, now: Time) {
         if !success {
