feat(schedule): say in runner-lost which call failed and how

That line is the same for a runner that was never polled and for one that answered a moment ago, and "unsent" covers a refused connection, a connection that took too long, busy connections and a lack of descriptors or ports.

The client now classifies each failure (base::fault::Cause) and keeps the description of the transport, cut at 160 bytes. runner-lost has the call (poll, start), the cause and the detail, and the age "never" if the runner has not answered this leader. runner-back has the time for which the runner got no tasks. Names of events and existing keys stay.

Executors send the cause as part of the number of a failure and leave the detail out. A leader of an earlier version reads these numbers as an order of unknown effect, as it does with all numbers that it does not know.

Answers to orders have a further field, which tests that build them set to None; they check the same as before.

Evidence: lost_runner_tells_what_failed_and_whether_it_has_answered (crates/schedule/tests/engine/contact.rs). It can't be compiled against the former code, which had no such fields.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -1,6 +1,9 @@
 //! An HTTP/1.1 client connection that reconnects after a failure.
 
-use crate::Failure;
+use crate::{
+    Failure,
+    Fault, //
+};
 use bytes::Bytes;
 use core::{
     future::Future,
@@ -28,6 +31,7 @@
     client::conn::http1, //
 };
 use hyper_util::rt::TokioIo;
+use sassafrascrank_base::fault::Cause;
 use socket2::SockRef;
 use tokio::{
     net::TcpStream,
@@ -83,7 +87,7 @@
 /// Why a request got no complete response on one connection.
 enum AttemptError {
     /// No byte of the request was sent, so it can be sent again on another connection.
-    Unsent(Box<Message>, String),
+    Unsent(Box<Message>, Fault),
     /// The request may have taken effect.
     Failed(Failure),
 }
@@ -150,7 +154,7 @@
         let transport = self.connect(limits.connect_timeout).await?;
         let result = self.attempt(transport, *unsent, limits).await;
         result.map_err(|error| match error {
-            AttemptError::Unsent(_, reason) => Failure::Unsent(reason),
+            AttemptError::Unsent(_, fault) => Failure::Unsent(fault),
             AttemptError::Failed(failure) => failure,
         })
     }
@@ -168,9 +172,14 @@
 
     async fn connect(&self, limit: Duration) -> Result<Transport, Failure> {
         let stream = connect_within(limit, TcpStream::connect(self.address)).await?;
-        set_socket_options(&stream).map_err(|error| Failure::Unsent(error.to_string()))?;
+        let unusable = |error| Failure::Unsent(Fault::of_connect(&error));
+        let stream = stream.map_err(unusable)?;
+        set_socket_options(&stream).map_err(unusable)?;
         let handshake = http1::handshake(TokioIo::new(stream));
-        let (sender, driver) = connect_within(limit, handshake).await?;
+        let (sender, driver) = connect_within(limit, handshake).await?.map_err(|error| {
+            let fault = Fault::new(Cause::ConnectFailed, error);
+            Failure::Unsent(fault)
+        })?;
         let driver = tokio::spawn(async move {
             // The request in flight gets the same error and reports it.
             let _ = driver.await;
@@ -229,10 +238,16 @@
     sender.try_send_request(request).await.map_err(|mut error| {
         // `hyper` returns the request if it has not begun to write it.
         let message = error.take_message();
-        let reason = error.into_error().to_string();
+        let error = error.into_error();
         match message {
-            Some(request) => AttemptError::Unsent(Box::new(request), reason),
-            None => AttemptError::Failed(Failure::ConnectionLost(reason)),
+            Some(request) => {
+                let fault = Fault::new(Cause::ClosedIdle, error);
+                AttemptError::Unsent(Box::new(request), fault)
+            }
+            None => {
+                let fault = Fault::of_connection(&error);
+                AttemptError::Failed(Failure::ConnectionLost(fault))
+            }
         }
     })
 }
@@ -260,9 +275,10 @@
         Err(error) if error.is::<LengthLimitError>() => {
             Err(AttemptError::Failed(Failure::ResponseTooLarge(limit)))
         }
-        Err(error) => Err(AttemptError::Failed(Failure::ConnectionLost(
-            error.to_string(),
-        ))),
+        Err(error) => {
+            let fault = Fault::of_connection(&*error);
+            Err(AttemptError::Failed(Failure::ConnectionLost(fault)))
+        }
     }
 }
 
@@ -286,16 +302,13 @@
     }
 }
 
-async fn connect_within<T, E: ToString>(
+async fn connect_within<T>(
     limit: Duration,
-    attempt: impl Future<Output = Result<T, E>>,
+    attempt: impl Future<Output = T>,
 ) -> Result<T, Failure> {
-    match timeout(limit, attempt).await {
-        Ok(result) => result.map_err(|error| Failure::Unsent(error.to_string())),
-        Err(_) => Err(Failure::Timeout {
-            sent: false,
-            after: limit,
-            received: 0,
-        }),
-    }
+    timeout(limit, attempt).await.map_err(|_| Failure::Timeout {
+        sent: false,
+        after: limit,
+        received: 0,
+    })
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -11,5 +11,8 @@
     Response,
     Transfer, //
 };
-pub use failure::Failure;
+pub use failure::{
+    Failure,
+    Fault, //
+};
 pub use pool::Pool;
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -3,6 +3,7 @@
 use crate::{
     Connection,
     Failure,
+    Fault,
     Limits,
     Message,
     Response, //
@@ -11,6 +12,7 @@
     net::SocketAddr,
     time::Duration, //
 };
+use sassafrascrank_base::fault::Cause;
 use std::{
     cell::RefCell,
     collections::HashMap,
@@ -59,8 +61,11 @@
         let permits = self.permits(address);
         let _permit = match timeout(self.acquire_timeout, permits.acquire()).await {
             Ok(Ok(permit)) => permit,
-            Ok(Err(_)) => return Err(Failure::Unsent("the pool is closed".to_owned())),
-            Err(_) => return Err(Failure::Unsent("all connections are in use".to_owned())),
+            Ok(Err(_)) => return Err(Failure::invalid("the pool is closed")),
+            Err(_) => {
+                let fault = Fault::new(Cause::NoFreeConnection, "all connections are in use");
+                return Err(Failure::Unsent(fault));
+            }
         };
         let mut connection = self.take_idle(address);
         let result = connection.call(request, limits).await;
--- a/crates/control/src/control/output.rs
+++ b/crates/control/src/control/output.rs
@@ -45,8 +45,22 @@
 fn event(group: Group) -> Event {
     let mut event = Event::new(group.kind.as_str(), group.at)
         .with("reason", Value::Code(group.reason))
-        .with("age", Value::Duration(group.age))
         .with_count(group.count());
+    // A runner that has never answered has no last answer whose age could be told.
+    let never = group.miss.as_ref().is_some_and(|miss| !miss.answered);
+    event = match never {
+        true => event.with("age", Value::Code("never")),
+        false => event.with("age", Value::Duration(group.age)),
+    };
+    if let Some(miss) = &group.miss {
+        event = event.with("call", Value::Code(miss.call));
+    }
+    if let Some(fault) = group.miss.and_then(|miss| miss.fault) {
+        event = event.with("cause", Value::Code(fault.cause.as_str()));
+        if !fault.detail.is_empty() {
+            event = event.with("detail", Value::Text(fault.detail));
+        }
+    }
     if let Some(job) = group.job {
         event = event.with("job", Value::Id(job.0)).low_priority();
     }
--- a/crates/control/src/drive/delegate.rs
+++ b/crates/control/src/drive/delegate.rs
@@ -7,7 +7,8 @@
         Command,
         Outcome,
         Results,
-        failure, //
+        failure,
+        fault, //
     },
 };
 use crate::clock::Clock;
@@ -274,11 +275,17 @@
     /// Returns the report on the order.
     fn report(&self, outcome: Outcome) -> Option<Report> {
         let (sent, clock) = (self.sent, outcome.clock);
+        let fault = outcome
+            .result
+            .as_ref()
+            .err()
+            .and_then(|&number| fault(number));
         let result = outcome.result.map_err(failure);
         let done = |result: Result<_, Failure>| Answer {
             sent,
             clock,
             result: result.map(|_| ()),
+            fault: fault.clone(),
         };
         Some(match self.order.content() {
             Order::Start(start) => Report::Start {
@@ -298,6 +305,7 @@
                     clock,
                     result: result
                         .and_then(|view| View::try_from(view).map_err(|_| Failure::Rejected)),
+                    fault,
                 },
             },
             Order::Pace(pace) => Report::Pace {
--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -11,6 +11,7 @@
 use crate::{
     clock::Clock,
     port::{
+        CallError,
         Fleet,
         Platform,
         Runners, //
@@ -124,6 +125,19 @@
     }
 }
 
+fn answer<T>(sent: Time, clock: Option<u64>, result: Result<T, CallError>) -> Answer<T> {
+    let (result, fault) = match result {
+        Ok(answer) => (Ok(answer), None),
+        Err(error) => (Err(error.failure), error.fault),
+    };
+    Answer {
+        sent,
+        clock,
+        result,
+        fault,
+    }
+}
+
 /// Returns the runner that an order is for, if it may be given to an executor.
 fn target(order: &Order) -> Option<&Target> {
     match order {
@@ -188,22 +202,20 @@
 
     async fn carry_out(&self, order: Envelope<Order>, delivery: Delivery) {
         let sent = self.clock.now();
-        let answer = |clock, result| Answer {
-            sent,
-            clock,
-            result,
-        };
         let report = match order.content() {
             Order::Start(start) => {
                 let (clock, result) = self.runners.start(start).await;
                 // The task may run although this copy of the order has failed.
-                let result = result.map_err(|failure| match delivery {
-                    Delivery::First => failure,
-                    Delivery::Repeat => failure.of_repeat(),
+                let result = result.map_err(|error| match delivery {
+                    Delivery::First => error,
+                    Delivery::Repeat => CallError {
+                        failure: error.failure.of_repeat(),
+                        ..error
+                    },
                 });
                 Report::Start {
                     run: start.run,
-                    answer: answer(clock, result),
+                    answer: answer(sent, clock, result),
                 }
             }
             Order::Stop(stop) => {
@@ -211,7 +223,7 @@
                 Report::Stop {
                     run: stop.run,
                     runner: stop.target.runner,
-                    answer: answer(clock, result),
+                    answer: answer(sent, clock, result),
                 }
             }
             Order::Poll(poll) => {
@@ -219,11 +231,7 @@
                 Report::Poll {
                     runner: poll.target.runner,
                     acknowledged: poll.acknowledged,
-                    answer: Answer {
-                        sent,
-                        clock,
-                        result,
-                    },
+                    answer: answer(sent, clock, result),
                 }
             }
             Order::Pace(pace) => {
@@ -231,7 +239,7 @@
                 Report::Pace {
                     run: pace.run,
                     percent: pace.percent,
-                    answer: answer(clock, result),
+                    answer: answer(sent, clock, result),
                 }
             }
             Order::Advise {
--- a/crates/control/src/drive/executor.rs
+++ b/crates/control/src/drive/executor.rs
@@ -12,7 +12,7 @@
         Outcome,
         Results,
         WireView,
-        failure_number, //
+        error_number, //
     },
 };
 use crate::{
@@ -152,7 +152,7 @@
 fn failed(failure: Failure) -> Outcome {
     Outcome {
         clock: None,
-        result: Err(failure_number(failure)),
+        result: Err(error_number(&failure.into())),
     }
 }
 
@@ -220,7 +220,7 @@
     };
     Outcome {
         clock,
-        result: result.map_err(failure_number),
+        result: result.map_err(|error| error_number(&error)),
     }
 }
 
--- a/crates/control/src/drive/wire.rs
+++ b/crates/control/src/drive/wire.rs
@@ -1,7 +1,9 @@
 //! Messages between a leader and its executors. Structs are stored as arrays, so the order of their fields is part of the
 //! format.
 
+use crate::port::CallError;
 use core::net::SocketAddr;
+use sassafrascrank_base::fault::Cause;
 use sassafrascrank_job::{
     Id,
     id::{
@@ -15,6 +17,7 @@
         EndReason,
         Ended,
         Failure,
+        Fault,
         Running,
         View, //
     },
@@ -151,15 +154,41 @@
     index.unwrap_or(all.len()) as u8
 }
 
-/// Returns the number of a failure on the wire.
-pub(super) fn failure_number(failure: Failure) -> u8 {
-    number_of(&FAILURES, &failure)
+/// First number of an order that was not sent, with the cause as an offset.
+const UNSENT_CAUSES: u8 = 64;
+/// First number of an order without an answer, with the cause as an offset.
+const UNKNOWN_CAUSES: u8 = 128;
+
+/// Returns the number of an error on the wire. The detail of its cause is left out.
+pub(super) fn error_number(error: &CallError) -> u8 {
+    let cause = error.fault.as_ref().map(|fault| fault.cause);
+    match (error.failure, cause) {
+        (Failure::Unsent, Some(cause)) => UNSENT_CAUSES + number_of(Cause::ALL, &cause),
+        (Failure::Unknown, Some(cause)) => UNKNOWN_CAUSES + number_of(Cause::ALL, &cause),
+        (failure, _) => number_of(&FAILURES, &failure),
+    }
 }
 
 /// Returns the failure with a number on the wire. One that a later version has added says nothing about the effect.
 pub(super) fn failure(number: u8) -> Failure {
-    let known = FAILURES.get(usize::from(number));
-    known.copied().unwrap_or(Failure::Unknown)
+    let known = FAILURES.get(usize::from(number)).copied();
+    match number {
+        UNSENT_CAUSES..UNKNOWN_CAUSES => Failure::Unsent,
+        _ => known.unwrap_or(Failure::Unknown),
+    }
+}
+
+/// Returns what has failed, if a number on the wire tells.
+pub(super) fn fault(number: u8) -> Option<Fault> {
+    let first = match number {
+        UNSENT_CAUSES..UNKNOWN_CAUSES => UNSENT_CAUSES,
+        _ => UNKNOWN_CAUSES,
+    };
+    let offset = usize::from(number.checked_sub(first)?);
+    Cause::ALL.get(offset).map(|&cause| Fault {
+        cause,
+        detail: "".into(),
+    })
 }
 
 /// An order is none for a runner.
--- a/crates/control/src/front/relay.rs
+++ b/crates/control/src/front/relay.rs
@@ -65,7 +65,7 @@
             .method(self.method.clone())
             .uri(path)
             .body(Full::new(self.body.clone()))
-            .map_err(|error| Failure::Unsent(error.to_string()))?;
+            .map_err(Failure::invalid)?;
         let headers = self.headers.iter();
         let headers = headers.filter(|(name, _)| !CONNECTION_HEADERS.contains(name));
         message
--- a/crates/control/src/port/mod.rs
+++ b/crates/control/src/port/mod.rs
@@ -25,6 +25,7 @@
 };
 pub use runners::{
     Answer,
+    CallError,
     Runners, //
 };
 
--- a/crates/control/src/port/runners.rs
+++ b/crates/control/src/port/runners.rs
@@ -10,13 +10,32 @@
     report::{
         Approval,
         Failure,
+        Fault,
         View, //
     },
 };
 use std::sync::Arc;
 
 /// The runner's clock in milliseconds, if the answer shows it, and the result of the order.
-pub type Answer<T> = (Option<u64>, Result<T, Failure>);
+pub type Answer<T> = (Option<u64>, Result<T, CallError>);
+
+/// Failure of an order, and what has failed if no usable answer arrived.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallError {
+    /// What is known of the effect.
+    pub failure: Failure,
+    /// What has failed.
+    pub fault: Option<Fault>,
+}
+
+impl From<Failure> for CallError {
+    fn from(failure: Failure) -> Self {
+        Self {
+            failure,
+            fault: None,
+        }
+    }
+}
 
 /// Connections to runners and to the advice service.
 pub trait Runners: 'static {
--- a/crates/control/tests/executor/entry.rs
+++ b/crates/control/tests/executor/entry.rs
@@ -167,7 +167,7 @@
         match self.starts {
             Starts::Answered => (None, Ok(())),
             Starts::Unanswered => std::future::pending().await,
-            Starts::Failed(failure) => (None, Err(failure)),
+            Starts::Failed(failure) => (None, Err(failure.into())),
         }
     }
 
--- a/crates/control/tests/executor/main.rs
+++ b/crates/control/tests/executor/main.rs
@@ -203,6 +203,7 @@
     for poll in engine.take_orders() {
         if let order::Order::Poll(order) = poll.content() {
             let answer = report::Answer {
+                fault: None,
                 sent: NOW,
                 clock: Some(7),
                 result: Ok(View::default()),
--- a/crates/control/tests/reports.rs
+++ b/crates/control/tests/reports.rs
@@ -261,6 +261,7 @@
             Order::Start(start) => Report::Start {
                 run: start.run,
                 answer: Answer {
+                    fault: None,
                     sent,
                     clock,
                     result,
@@ -270,6 +271,7 @@
                 runner: poll.target.runner,
                 acknowledged: poll.acknowledged,
                 answer: Answer {
+                    fault: None,
                     sent,
                     clock,
                     result: result.map(|()| View {
--- a/crates/control/tests/simulation/order.rs
+++ b/crates/control/tests/simulation/order.rs
@@ -107,6 +107,7 @@
         let clock = Some(worker.clock(now));
         let sent = START + sent;
         let answer = |result| Answer {
+            fault: None,
             sent,
             clock,
             result,
@@ -151,6 +152,7 @@
                     runner: poll.target.runner,
                     acknowledged: poll.acknowledged,
                     answer: Answer {
+                        fault: None,
                         sent,
                         clock,
                         result,
@@ -200,6 +202,7 @@
         Order::Start(start) => Report::Start {
             run: start.run,
             answer: Answer {
+                fault: None,
                 sent,
                 clock,
                 result: Err(failure),
@@ -209,6 +212,7 @@
             run: stop.run,
             runner: stop.target.runner,
             answer: Answer {
+                fault: None,
                 sent,
                 clock,
                 result: Err(failure),
@@ -218,6 +222,7 @@
             runner: poll.target.runner,
             acknowledged: poll.acknowledged,
             answer: Answer {
+                fault: None,
                 sent,
                 clock,
                 result: Err(failure),
--- a/crates/schedule/examples/scale.rs
+++ b/crates/schedule/examples/scale.rs
@@ -96,6 +96,7 @@
     for order in orders {
         fn done<T>(sent: Time, result: T) -> Answer<T> {
             Answer {
+                fault: None,
                 sent,
                 clock: Some(1_000 + sent.since(START_TIME).as_millis() as u64),
                 result: Ok(result),
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -14,6 +14,7 @@
     },
     note::{
         Kind,
+        Miss,
         Note, //
     },
     order::{
@@ -22,6 +23,7 @@
             Answer,
             EndReason,
             Failure,
+            Fault,
             Running,
             View, //
         },
@@ -131,7 +133,10 @@
             }
             Err(Failure::Fenced) => self.superseded = true,
             Err(Failure::Replaced) => self.end_incarnation(key, Loss::Replaced, now),
-            Err(failure) => self.mark_unreachable(key, failure, now),
+            Err(failure) => {
+                let fault = answer.fault;
+                self.mark_unreachable(key, "poll", failure, fault, now);
+            }
         }
     }
 
@@ -305,14 +310,22 @@
         runner.fenced = true;
         if runner.misses > 0 {
             runner.misses = 0;
-            let id = runner.id.clone();
-            self.note(Note::new(Kind::RunnerBack, "answered", now).with_place(&id));
+            let (id, left_out) = (runner.id.clone(), now.since(runner.lost_at));
+            let note = Note::new(Kind::RunnerBack, "answered", now);
+            self.note(note.with_place(&id).with_age(left_out));
         }
         self.refute_crashes(key, now);
     }
 
-    /// Records that a runner did not answer.
-    pub(super) fn mark_unreachable(&mut self, key: runner::Key, failure: Failure, now: Time) {
+    /// Records that a runner did not answer an order of the kind `call`.
+    pub(super) fn mark_unreachable(
+        &mut self,
+        key: runner::Key,
+        call: &'static str,
+        failure: Failure,
+        fault: Option<Fault>,
+        now: Time,
+    ) {
         let retry_interval = self.rules.retry_interval;
         let Some(runner) = self.runners.get_mut(key) else {
             return;
@@ -321,13 +334,18 @@
         runner.poll_at = now + retry_interval;
         if runner.misses == 1 {
             let id = runner.id.clone();
-            let seen = runner.last_poll > Time::MIN;
-            let age = if seen {
-                now.since(runner.last_poll)
-            } else {
-                Duration::ZERO
+            runner.lost_at = now;
+            let answered = runner.last_poll > Time::MIN;
+            let age = match answered {
+                true => now.since(runner.last_poll),
+                false => Duration::ZERO,
+            };
+            let miss = Miss {
+                call,
+                fault,
+                answered,
             };
-            let note = Note::new(Kind::RunnerLost, failure.as_str(), now);
+            let note = Note::new(Kind::RunnerLost, failure.as_str(), now).with_miss(miss);
             self.note(note.with_place(&id).with_age(age));
         }
     }
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -18,6 +18,7 @@
         report::{
             Answer,
             Failure,
+            Fault,
             Report, //
         },
     },
@@ -110,21 +111,21 @@
             Err(failure) if run.doubt.is_some() => self.doubt_start(key, failure, now),
             Err(Failure::Unknown) if repeats => {
                 self.doubt_start(key, Failure::Unknown, now);
-                self.mark_unreachable(runner_key, Failure::Unknown, now);
+                self.mark_unreachable(runner_key, "start", Failure::Unknown, answer.fault, now);
             }
             Err(Failure::Unknown) => {
                 let run = run.clone();
                 self.note_run(Kind::StartUnknown, "no-answer", &run, now);
                 // The stop prevents the start if that arrives later.
                 self.stop(key, "start-unknown", now);
-                self.mark_unreachable(runner_key, Failure::Unknown, now);
+                self.mark_unreachable(runner_key, "start", Failure::Unknown, answer.fault, now);
             }
             Err(failure) => {
                 let run = run.clone();
                 self.note_run(Kind::StartRefused, failure.as_str(), &run, now);
                 self.read_clock(runner_key, clock, now);
                 self.abandon(key, now);
-                self.handle_refused_start(runner_key, failure, now);
+                self.handle_refused_start(runner_key, failure, answer.fault, now);
                 if failure == Failure::InvalidTicket {
                     self.drop_tickets(task.step());
                 }
@@ -133,9 +134,15 @@
     }
 
     /// Updates a runner that refused a start.
-    fn handle_refused_start(&mut self, key: runner::Key, failure: Failure, now: Time) {
+    fn handle_refused_start(
+        &mut self,
+        key: runner::Key,
+        failure: Failure,
+        fault: Option<Fault>,
+        now: Time,
+    ) {
         match failure {
-            Failure::Unsent => self.mark_unreachable(key, failure, now),
+            Failure::Unsent => self.mark_unreachable(key, "start", failure, fault, now),
             Failure::Unhealthy | Failure::Rejected | Failure::NoCapacity => {
                 if let Some(runner) = self.runners.get_mut(key) {
                     runner.quarantined_until = runner.quarantined_until.max(now + BACK_OFF);
--- a/crates/schedule/src/note/group.rs
+++ b/crates/schedule/src/note/group.rs
@@ -2,9 +2,13 @@
 
 use super::{
     Kind,
+    Miss,
     Note, //
 };
-use sassafrascrank_base::prelude::*;
+use sassafrascrank_base::{
+    fault::Cause,
+    prelude::*, //
+};
 use sassafrascrank_job::{
     Id,
     id::Task, //
@@ -45,6 +49,8 @@
     pub places: Vec<Arc<str>>,
     /// Largest age of the notes.
     pub age: Duration,
+    /// First failed call; those of the others differ in the detail only.
+    pub miss: Option<Miss>,
 }
 
 impl Group {
@@ -65,6 +71,7 @@
             place,
             reason,
             age,
+            miss,
         } = note;
         let subject = task.map(|task| Subject {
             task,
@@ -79,16 +86,42 @@
             places: place.into_iter().filter(|_| subject.is_none()).collect(),
             subjects: subject.into_iter().collect(),
             age,
+            miss,
+        }
+    }
+}
+
+/// What is the same in all notes of a group.
+#[derive(Eq, Hash, PartialEq)]
+struct Shared {
+    kind: Kind,
+    reason: &'static str,
+    job: Option<Id>,
+    /// Kind of the failed order, what has failed, and whether the runner had answered before.
+    miss: Option<(&'static str, Option<Cause>, bool)>,
+}
+
+impl From<&Note> for Shared {
+    fn from(note: &Note) -> Self {
+        let miss = note.miss.as_ref().map(|miss| {
+            let cause = miss.fault.as_ref().map(|fault| fault.cause);
+            (miss.call, cause, miss.answered)
+        });
+        Self {
+            kind: note.kind,
+            reason: note.reason,
+            job: note.job,
+            miss,
         }
     }
 }
 
-/// Groups notes by kind, reason and job. Groups come in the order of their first notes.
+/// Groups notes by kind, reason, job and cause. Groups come in the order of their first notes.
 pub fn group(notes: Vec<Note>) -> Vec<Group> {
     let mut groups: Vec<Group> = Vec::new();
-    let mut index: HashMap<(Kind, &'static str, Option<Id>), usize> = HashMap::new();
+    let mut index: HashMap<Shared, usize> = HashMap::new();
     for note in notes {
-        let key = (note.kind, note.reason, note.job);
+        let key = Shared::from(&note);
         let grouped = note.task.is_some() || note.place.is_some();
         let next = Group::from(note);
         let known = index.get(&key).filter(|_| grouped);
--- a/crates/schedule/src/note/mod.rs
+++ b/crates/schedule/src/note/mod.rs
@@ -10,5 +10,6 @@
 };
 pub use note::{
     Kind,
+    Miss,
     Note, //
 };
--- a/crates/schedule/src/note/note.rs
+++ b/crates/schedule/src/note/note.rs
@@ -1,5 +1,6 @@
 //! A note on a decision or an event.
 
+use crate::order::report::Fault;
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::{
     Id,
@@ -82,6 +83,17 @@
     ReportOutdated = "report-outdated";
 }
 
+/// Failed call to a runner that counts as lost since then.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Miss {
+    /// Kind of the order.
+    pub call: &'static str,
+    /// What has failed, if that is known.
+    pub fault: Option<Fault>,
+    /// Whether the runner has answered a poll of this leader before.
+    pub answered: bool,
+}
+
 /// A decision of the engine, or an event that it learned of.
 #[derive(Clone, Debug)]
 pub struct Note {
@@ -101,6 +113,8 @@
     pub reason: &'static str,
     /// Age of the input that led to the decision, or time that the event took.
     pub age: Duration,
+    /// Failed call that it is about.
+    pub miss: Option<Miss>,
 }
 
 impl Note {
@@ -115,6 +129,7 @@
             place: None,
             reason,
             age: Duration::ZERO,
+            miss: None,
         }
     }
 
@@ -138,6 +153,12 @@
         self
     }
 
+    /// Sets the failed call.
+    pub fn with_miss(mut self, miss: Miss) -> Self {
+        self.miss = Some(miss);
+        self
+    }
+
     /// Sets the age of the input, or the time that the event took.
     pub fn with_age(mut self, age: Duration) -> Self {
         self.age = age;
--- a/crates/schedule/src/order/report.rs
+++ b/crates/schedule/src/order/report.rs
@@ -8,7 +8,10 @@
     },
     runner,
 };
-use sassafrascrank_base::prelude::*;
+use sassafrascrank_base::{
+    fault::Cause,
+    prelude::*, //
+};
 use sassafrascrank_job::id::Task;
 use std::sync::Arc;
 
@@ -64,6 +67,15 @@
     }
 }
 
+/// What has failed in an order without an answer, or with an unusable one. Only logs and pauses depend on it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// What has failed.
+    pub cause: Cause,
+    /// Description by the transport, of bounded length; empty if another entry has sent the order.
+    pub detail: Arc<str>,
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum EndReason {
@@ -147,6 +159,8 @@
     pub clock: Option<u64>,
     /// What the runner answered.
     pub result: Result<T, Failure>,
+    /// What has failed, if that is known.
+    pub fault: Option<Fault>,
 }
 
 /// Approval of runners for a step by the advice service.
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -77,6 +77,8 @@
     pub alive_at: Time,
     /// Number of requests in a row without an answer.
     pub misses: u32,
+    /// When the first of these requests failed.
+    pub lost_at: Time,
     /// Whether all runners of its rack have stopped answering at about the same time.
     pub rack_failed: bool,
     /// Highest number of an end that was handled.
@@ -162,6 +164,7 @@
             last_poll: Time::MIN,
             alive_at: Time::MIN,
             misses: 0,
+            lost_at: Time::MIN,
             rack_failed: false,
             last_end: 0,
             durable_end: 0,
--- /dev/null
+++ b/crates/schedule/tests/engine/contact.rs
@@ -0,0 +1,42 @@
+//! Failed calls to runners.
+
+use crate::harness::{
+    Harness,
+    Planned,
+    long_running, //
+};
+use sassafrascrank_base::{
+    fault::Cause,
+    prelude::*, //
+};
+use sassafrascrank_schedule::order::report::Failure;
+
+fn planned(call: &'static str, failure: Failure, cause: Cause) -> Planned {
+    Planned {
+        id: "r0",
+        call,
+        count: 1,
+        failure,
+        cause,
+        after: Duration::ZERO,
+    }
+}
+
+/// Guards against log lines that show a runner which never answered like one that answered a moment ago, and that don't
+/// say which call failed and how.
+#[test]
+fn lost_runner_tells_what_failed_and_whether_it_has_answered() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| None;
+    let unsent = planned("poll", Failure::Unsent, Cause::Refused);
+    harness.faults.planned.push(unsent);
+    harness.run_ms(600);
+    let unsent = planned("start", Failure::Unsent, Cause::ClosedIdle);
+    harness.faults.planned.push(unsent);
+    harness.submit(1, vec![long_running(1, 1)]);
+    harness.run_ms(1_000);
+    let unknown = planned("poll", Failure::Unknown, Cause::Reset);
+    harness.faults.planned.push(unknown);
+    harness.run_ms(1_000);
+    insta::assert_snapshot!(harness.faults.notes.join("\n"));
+}
--- a/crates/schedule/tests/engine/harness/execute.rs
+++ b/crates/schedule/tests/engine/harness/execute.rs
@@ -1,9 +1,6 @@
 //! Execution of orders by simulated runners, hosts and the advice service.
 
-use super::{
-    Harness,
-    fixture::START_TIME, //
-};
+use super::Harness;
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::id::Task;
 use sassafrascrank_schedule::{
@@ -37,7 +34,10 @@
 impl Harness {
     /// Executes an order and reports its result to the engine.
     pub(super) fn execute(&mut self, order: Envelope<Order>) {
-        let now = self.now;
+        if let Some((report, after)) = self.faults.fail(order.content(), self.time()) {
+            self.deliver(order.reply(report), after);
+            return;
+        }
         let report = match order.content() {
             Order::Start(start) => self.start(start),
             Order::Stop(stop) => self.stop(stop),
@@ -58,9 +58,8 @@
                 return;
             }
         };
-        let report = order.reply(report);
-        self.reports.push(report.clone());
-        self.engine.report(report, START_TIME + now);
+        let held = self.faults.hold(order.content());
+        self.deliver(order.reply(report), held);
     }
 
     /// Reports a list of hosts once more, as another answer to the last order for it.
@@ -189,6 +188,7 @@
             run: pace.run,
             percent: pace.percent,
             answer: Answer {
+                fault: None,
                 sent: self.time(),
                 clock: None,
                 result: Ok(()),
@@ -225,6 +225,7 @@
             None => (None, Err(Failure::Replaced)),
         };
         Answer {
+            fault: None,
             sent,
             clock,
             result,
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -1,10 +1,13 @@
 //! A test harness: an engine with simulated runners and hosts that execute its orders at once, in virtual time.
 
-use super::fixture::{
-    RUNNER_SLOTS,
-    START_TIME,
-    config,
-    job, //
+use super::{
+    fault::Faults,
+    fixture::{
+        RUNNER_SLOTS,
+        START_TIME,
+        config,
+        job, //
+    },
 };
 use core::net::SocketAddr;
 use sassafrascrank_base::prelude::*;
@@ -107,6 +110,8 @@
     pub(crate) announced: Vec<(u64, bool)>,
     /// Reasons why jobs count as begun, each with the runner that has shown it.
     pub(crate) begun: Vec<String>,
+    /// Calls that fail.
+    pub(crate) faults: Faults,
     lines: String,
     replacements: u64,
 }
@@ -166,6 +171,7 @@
             unanswered_host_orders: 0,
             announced: Vec::new(),
             begun: Vec::new(),
+            faults: Faults::default(),
             lines: String::new(),
             replacements: 0,
         };
@@ -348,6 +354,9 @@
             self.start_runner(&name);
         }
         let now = self.time();
+        for report in self.faults.due(self.now) {
+            self.deliver(report, Duration::ZERO);
+        }
         self.engine.tick(Permission::Start, now, now);
         if let Some(records) = self.engine.take_records() {
             for record in records {
@@ -362,8 +371,11 @@
         for order in self.engine.take_orders() {
             self.execute(order);
         }
-        let notes = self.engine.take_notes().into_iter();
-        let begun = notes.filter(|note| note.kind == Kind::JobBegun);
+        let notes = self.engine.take_notes();
+        for note in &notes {
+            self.faults.keep(note, self.now);
+        }
+        let begun = notes.into_iter().filter(|note| note.kind == Kind::JobBegun);
         let line = |note: Note| {
             let place = note.place.as_deref().unwrap_or_default();
             format!("{} {place}", note.reason)
--- a/crates/schedule/tests/engine/harness/mod.rs
+++ b/crates/schedule/tests/engine/harness/mod.rs
@@ -1,9 +1,11 @@
 //! An engine with runners and hosts that carry out its orders at once, in virtual time.
 
 mod execute;
+mod fault;
 mod fixture;
 mod harness;
 
+pub(crate) use fault::Planned;
 pub(crate) use fixture::{
     RUNNER_SLOTS,
     START_TIME,
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod blocked;
 mod cancel;
+mod contact;
 mod crash;
 mod doubt;
 mod evict;
