--- a/crates/control/tests/stale/site.rs
+++ b/crates/control/tests/stale/site.rs
@@ -343,6 +343,7 @@
 
     fn answer<T>(&self, result: T) -> Answer<T> {
         Answer {
+            fault: None,
             sent: self.now,
             clock: Some(1_000 + self.now.since(START).as_millis() as u64),
             result: Ok(result),
