fix(lead): let no entry claim whose reads of the log are slow

Seen in a test: while reads take 3 s at all entries and appends succeed, the entries take the lead from each other. Five claims in 12 s, and 2.6 s without a renewal of the runners' leases; tasks would lapse.

Cause: the time without a record of the leader counted from the beginning of a read, and records that arrive more than 2.5 s after the last read count as old. So each slow read ended with a claim, although it had heartbeats in it. The new leader had to read the log as slowly, so it could start nothing either.

An entry now claims only if its last read began at most 2 s before, the age up to which a leader starts tasks.

Without the change: 5 claims, 2,610 ms without a renewal. With it: no claim, 20 ms. The case `reads take 1.5 s` was not run without the change.

--- a/crates/control/tests/stale/main.rs
+++ b/crates/control/tests/stale/main.rs
@@ -77,6 +77,14 @@
             "reads take 60 times as long as usual",
             Reads::Answered(Duration::from_millis(240)),
         ),
+        (
+            "reads take 1.5 s",
+            Reads::Answered(Duration::from_millis(1_500)),
+        ),
+        (
+            "reads take 3 s",
+            Reads::Answered(Duration::from_millis(3_000)),
+        ),
     ] {
         let (mut site, leader) = led(3);
         let claims = site.claims;
--- a/crates/lead/src/election/election.rs
+++ b/crates/lead/src/election/election.rs
@@ -100,6 +100,8 @@
     reading_since: Option<Time>,
     /// End of the last successful read.
     last_read: Time,
+    /// Start of the last successful read.
+    read_started: Time,
     /// Start of the last confirmed append of this leader.
     confirmed_at: Time,
     /// Since when a claim is due; set when the read before the claim is requested.
@@ -123,6 +125,7 @@
             leader_since: now,
             reading_since: None,
             last_read: Time::MIN,
+            read_started: Time::MIN,
             confirmed_at: Time::MIN,
             due_since: None,
             rejected_epoch: 0,
@@ -161,6 +164,7 @@
         } else {
             self.reading_since.get_or_insert(started);
             self.last_read = now;
+            self.read_started = started;
         }
     }
 
@@ -243,6 +247,9 @@
             self.reading_since = None;
             return false;
         }
+        if now.since(self.read_started) > self.timing.max_read_delay {
+            return false;
+        }
         let start = since.max(self.observed_at);
         let after_outage = since > self.observed_at + self.timing.lease;
         now >= start + self.claim_delay(rank, after_outage) || self.replaces_leader(since, now)
@@ -276,6 +283,7 @@
         self.latest = None;
         self.reading_since = None;
         self.last_read = Time::MIN;
+        self.read_started = Time::MIN;
         self.due_since = None;
     }
 
