--- a/crates/base/src/fault.rs
+++ b/crates/base/src/fault.rs
@@ -62,4 +62,10 @@
             Self::Invalid | Self::NoFreeConnection | Self::NoDescriptor | Self::NoPort
         )
     }
+
+    /// Tells whether a connection failed after the request was sent, or while it was. A peer that closes an idle connection
+    /// in that moment has not handled the request.
+    pub const fn is_connection_loss(self) -> bool {
+        matches!(self, Self::Closed | Self::Reset | Self::ConnectionFailed)
+    }
 }
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -69,10 +69,13 @@
         };
         let mut connection = self.take_idle(address);
         let result = connection.call(request, limits).await;
-        if connection.is_open()
-            && let Some(entry) = self.addresses.borrow_mut().get_mut(&address)
-        {
-            entry.idle.push(connection);
+        if let Some(entry) = self.addresses.borrow_mut().get_mut(&address) {
+            if connection.is_open() {
+                entry.idle.push(connection);
+            } else if matches!(result, Err(Failure::ConnectionLost(_))) {
+                // What has ended one connection may have ended all of them.
+                entry.idle.clear();
+            }
         }
         result
     }
