fix(schedule): don't hold the poll open that renews a first lease

A long-running run on a sound runner lapsed 1.5 s after its start because a single poll got no answer; its task then started anew. A run that starts on an idle runner has a lease of 1.5 s, which the next poll renews. The runner may hold that poll open for 0.9 s, so the leader learned of its loss only 1.5 s after it was sent, when the lease was over.

A poll is now held open only if an answered poll has renewed the lease beyond the time for which it may be held. The first one after a start is answered at once, which costs one further poll for each runner that gets work after it was idle. Polls that can't renew the lease are held as before, so a leader that may not give orders doesn't poll more often.

Evidence: run_outlives_the_loss_of_the_poll_after_its_start (crates/schedule/tests/engine/contact.rs, virtual time). Before the change the task started at 120 ms and again, as its second attempt, at 1,940 ms; now its first run goes on. All tests of the crate pass. Two polls lost in a row after a first start are not covered.

--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -63,6 +63,14 @@
                 true => runner.renew_lease(rules.lease, &rules, now),
                 false => None,
             };
+            runner.renewal = until.map(|_| now + rules.lease);
+            // The first lease of a run is short. A poll that should renew it is not held open, so that its loss is noticed
+            // while there is time for another one.
+            let ends_soon = until.is_some() && runner.renewed_until < now + rules.poll_wait;
+            let wait = match ends_soon {
+                true => Duration::ZERO,
+                false => wait,
+            };
             // A later incarnation, which numbers its ends anew, may get the poll. Ends are named only until an answer shows
             // that they were acknowledged, so that it doesn't forget ends that were not handled.
             let acknowledged = match runner.acknowledged < runner.durable_end {
@@ -112,6 +120,7 @@
             return;
         };
         runner.poll_sent = None;
+        let renewal = runner.renewal.take();
         runner.poll_at = now + self.rules.poll_gap;
         self.read_clock(key, answer.clock, now);
         match answer.result {
@@ -127,6 +136,7 @@
                 let runner = &mut self.runners[key];
                 runner.acknowledged = runner.acknowledged.max(acknowledged);
                 runner.last_poll = answer.sent;
+                runner.renewed_until = runner.renewed_until.max(renewal.unwrap_or(Time::MIN));
                 runner.alive_at = runner.alive_at.max(answer.sent);
                 self.handle_view(key, view, answer.clock, answer.sent, now);
                 self.schedule_next_poll(key, now);
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -69,6 +69,10 @@
     pub fenced: bool,
     /// When the poll in flight was sent.
     pub poll_sent: Option<Time>,
+    /// Earliest end of the lease that the poll in flight asks for, if it does.
+    pub renewal: Option<Time>,
+    /// Earliest end of the lease by the last answered poll that renewed it.
+    pub renewed_until: Time,
     /// When the next poll is due.
     pub poll_at: Time,
     /// When the last answered poll was sent.
@@ -160,6 +164,8 @@
             runs_until,
             fenced: false,
             poll_sent: None,
+            renewal: None,
+            renewed_until: Time::MIN,
             poll_at: now,
             last_poll: Time::MIN,
             alive_at: Time::MIN,
--- a/crates/schedule/tests/engine/contact.rs
+++ b/crates/schedule/tests/engine/contact.rs
@@ -40,3 +40,21 @@
     harness.run_ms(1_000);
     insta::assert_snapshot!(harness.faults.notes.join("\n"));
 }
+
+/// Guards against a run whose first lease ends because the poll that should have renewed it got no answer. The leader
+/// learns that only after the time for which the runner may hold the poll open.
+#[test]
+fn run_outlives_the_loss_of_the_poll_after_its_start() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| None;
+    harness.faults.hold_polls = true;
+    harness.run_ms(100);
+    harness.faults.planned.push(Planned {
+        after: Duration::from_millis(600),
+        ..planned("poll", Failure::Unknown, Cause::Timeout)
+    });
+    harness.submit(1, vec![long_running(1, 1)]);
+    harness.run_ms(6_000);
+    insta::assert_snapshot!(harness.timeline());
+    assert_eq!(harness.running_count(), 1);
+}
--- a/crates/schedule/tests/engine/harness/fault.rs
+++ b/crates/schedule/tests/engine/harness/fault.rs
@@ -33,7 +33,7 @@
     pub(crate) failure: Failure,
     /// What has failed.
     pub(crate) cause: Cause,
-    /// Time until the caller learns it.
+    /// Time until the caller learns it. A runner may hold a poll open, so a poll that takes time fails later by as much.
     pub(crate) after: Duration,
 }
 
@@ -74,6 +74,10 @@
                 result: Err(failure),
             }
         }
+        let after = match order {
+            Order::Poll(poll) if !after.is_zero() => after + poll.wait,
+            _ => after,
+        };
         let report = match order {
             Order::Start(start) => Report::Start {
                 run: start.run,
