fix(schedule): poll a runner again at once after a failed call

A runner got no tasks for 260 ms after a single failed poll or start, and no poll renewed its leases meanwhile, since the next poll followed after the retry interval only.

The first failure is now followed by a poll in the next round. It doesn't renew the leases, so a runner that is gone is given up as early as before. If that poll fails too, the following ones come at the times at which they came before, so the return of a runner is never noticed later. A runner that is gone costs one further poll.

Evidence: failed_poll_is_repeated_at_once (crates/schedule/tests/engine/ contact.rs, virtual time). The runner was back after 260 ms before the change, and is after 20 ms, one round of the engine, now.

Not covered: after a start that fails while a poll is held open, the runner waits for the answer to that poll, up to 0.9 s.

--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -341,7 +341,12 @@
             return;
         };
         runner.misses += 1;
-        runner.poll_at = now + retry_interval;
+        // A single call may fail although the runner is sound, so the first one is followed by a poll at once.
+        runner.poll_at = match runner.misses {
+            1 => now,
+            2 => now.max(runner.lost_at + retry_interval),
+            _ => now + retry_interval,
+        };
         if runner.misses == 1 {
             let id = runner.id.clone();
             runner.lost_at = now;
--- a/crates/schedule/tests/engine/contact.rs
+++ b/crates/schedule/tests/engine/contact.rs
@@ -41,6 +41,20 @@
     insta::assert_snapshot!(harness.faults.notes.join("\n"));
 }
 
+/// Guards against a sound runner that gets no tasks for longer than a repeat takes, because one call was refused.
+#[test]
+fn failed_poll_is_repeated_at_once() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| None;
+    harness.faults.hold_polls = true;
+    harness.submit(1, vec![long_running(1, 1)]);
+    harness.run_ms(2_000);
+    let refused = planned("poll", Failure::Unsent, Cause::Refused);
+    harness.faults.planned.push(refused);
+    harness.run_ms(4_000);
+    insta::assert_snapshot!(harness.faults.notes.join("\n"));
+}
+
 /// Guards against a run whose first lease ends because the poll that should have renewed it got no answer. The leader
 /// learns that only after the time for which the runner may hold the poll open.
 #[test]
