fix(schedule): don't take a lack of descriptors for a lost runner

A start that could not be sent because this process had no file descriptor or no local port left took its runner out of placement until the next poll was answered. A runner with long-running tasks holds that poll open for up to 0.9 s, and without descriptors this happens to all runners in turn.

Such a start now says nothing about the runner. It gets no starts for the retry interval (250 ms), since they would fail again at once, and its leases are renewed meanwhile. A lack of free connections still counts: they are all in use only if the runner leaves calls unanswered for 0.5 s. Polls that can't be sent count as before, since a lease must not be taken as renewed by a poll that was not sent.

Evidence: start_without_a_descriptor_says_nothing_about_the_runner (crates/ schedule/tests/engine/contact.rs, virtual time). The start that failed at 2,020 ms was made again at 2,900 ms before the change and at 2,280 ms after it, without runner-lost. All tests of the crate pass. The failure is that of the simulated call; no process without descriptors was run.

--- a/crates/base/src/fault.rs
+++ b/crates/base/src/fault.rs
@@ -55,12 +55,10 @@
 }
 
 impl Cause {
-    /// Tells whether the caller lacked a resource of its own, so that the failure says nothing about the peer.
+    /// Tells whether the caller lacked a resource of its own, so that the failure says nothing about the peer. Connections are
+    /// all in use if the peer leaves calls unanswered, so their lack is none of these.
     pub const fn is_local(self) -> bool {
-        matches!(
-            self,
-            Self::Invalid | Self::NoFreeConnection | Self::NoDescriptor | Self::NoPort
-        )
+        matches!(self, Self::Invalid | Self::NoDescriptor | Self::NoPort)
     }
 
     /// Tells whether a connection failed after the request was sent, or while it was. A peer that closes an idle connection
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -141,7 +141,15 @@
         fault: Option<Fault>,
         now: Time,
     ) {
+        let local = fault.as_ref().is_some_and(|fault| fault.cause.is_local());
         match failure {
+            // The failure says nothing about the runner. Starts need a pause, since they would fail again at once.
+            Failure::Unsent if local => {
+                let pause = self.rules.retry_interval;
+                if let Some(runner) = self.runners.get_mut(key) {
+                    runner.quarantined_until = runner.quarantined_until.max(now + pause);
+                }
+            }
             Failure::Unsent => self.mark_unreachable(key, "start", failure, fault, now),
             Failure::Unhealthy | Failure::Rejected | Failure::NoCapacity => {
                 if let Some(runner) = self.runners.get_mut(key) {
--- a/crates/schedule/tests/engine/contact.rs
+++ b/crates/schedule/tests/engine/contact.rs
@@ -55,6 +55,28 @@
     insta::assert_snapshot!(harness.faults.notes.join("\n"));
 }
 
+/// Guards against a runner that counts as lost because this process lacks a file descriptor for a start. The
+/// poll that would find it is held open meanwhile.
+#[test]
+fn start_without_a_descriptor_says_nothing_about_the_runner() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| None;
+    harness.faults.hold_polls = true;
+    harness.submit(1, vec![long_running(1, 1)]);
+    harness.run_ms(2_000);
+    let unsent = planned("start", Failure::Unsent, Cause::NoDescriptor);
+    harness.faults.planned.push(unsent);
+    harness.add_line("no descriptor");
+    harness.submit(2, vec![long_running(1, 1)]);
+    harness.run_ms(2_000);
+    insta::assert_snapshot!(harness.timeline());
+    assert!(
+        harness.faults.notes.is_empty(),
+        "{:?}",
+        harness.faults.notes
+    );
+}
+
 /// Guards against a run whose first lease ends because the poll that should have renewed it got no answer. The leader
 /// learns that only after the time for which the runner may hold the poll open.
 #[test]
