--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -66,6 +66,14 @@
                 true => runner.renew_lease(rules.lease, &rules, now),
                 false => None,
             };
+            runner.renewal = until.map(|_| now + rules.lease);
+            // The first lease of a run is short. A poll that should renew it is not held open, so that its loss is noticed
+            // while there is time for another one.
+            let ends_soon = until.is_some() && runner.renewed_until < now + rules.poll_wait;
+            let wait = match ends_soon {
+                true => Duration::ZERO,
+                false => wait,
+            };
             // A later incarnation, which numbers its ends anew, may get the poll. Ends are named only until an answer shows
             // that they were acknowledged, so that it doesn't forget ends that were not handled.
             let acknowledged = match runner.acknowledged < runner.durable_end {
@@ -118,6 +126,7 @@
             return;
         };
         runner.poll_sent = None;
+        let renewal = runner.renewal.take();
         runner.poll_at = now + self.rules.poll_gap;
         self.read_clock(key, answer.clock, now);
         match answer.result {
@@ -133,6 +142,7 @@
                 let runner = &mut self.runners[key];
                 runner.acknowledged = runner.acknowledged.max(acknowledged);
                 runner.last_poll = answer.sent;
+                runner.renewed_until = runner.renewed_until.max(renewal.unwrap_or(Time::MIN));
                 runner.alive_at = runner.alive_at.max(answer.sent);
                 self.handle_view(key, view, answer.clock, answer.sent, now);
                 self.schedule_next_poll(key, now);
@@ -337,7 +347,12 @@
             return;
         };
         runner.misses += 1;
-        runner.poll_at = now + retry_interval;
+        // A single call may fail although the runner is sound, so the first one is followed by a poll at once.
+        runner.poll_at = match runner.misses {
+            1 => now,
+            2 => now.max(runner.lost_at + retry_interval),
+            _ => now + retry_interval,
+        };
         if runner.misses == 1 {
             let id = runner.id.clone();
             runner.lost_at = now;
