--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -63,11 +63,14 @@
     fn from(failure: Failure) -> Self {
         Self::Call(match failure {
             Failure::ResponseTooLarge(_) => return Self::ResponseTooLarge,
-            Failure::Unsent(reason) => Error::Unavailable {
+            Failure::Unsent(fault) => Error::Unavailable {
                 sent: false,
-                reason,
+                reason: fault.detail,
+            },
+            Failure::ConnectionLost(fault) => Error::Unavailable {
+                sent: true,
+                reason: fault.detail,
             },
-            Failure::ConnectionLost(reason) => Error::Unavailable { sent: true, reason },
             Failure::Timeout { sent, after, .. } => Error::Timeout { sent, after },
         })
     }
