fix(schedule): count the pause after crashes from the last crash

What callers saw: a long-running task that may have crashed three runners had nothing running for longer than its pause of 3 s whenever the leader changed meanwhile.

Cause: each leader began the pause anew when it restored the task.

Change: an entry remembers when it read the record that counted the last crash, and a new leader counts the pause from then. A task whose job is about to be given up still pauses again, since a new leader doesn't know which other runners have crashed.

Evidence: `pause_of_a_long_running_task_goes_on_under_the_next_leader` failed before: 3.3 s after the third crash, with two changes of the leader, nothing ran. The tests of `schedule` and `job` pass.

--- a/crates/job/src/replica/entry.rs
+++ b/crates/job/src/replica/entry.rs
@@ -30,11 +30,24 @@
     pub progress: Option<Arc<Progress>>,
     /// Offset of the record with `progress`.
     pub(super) progress_offset: u64,
+    /// When this process read the latest record that counted another crash against a task.
+    pub crashed: Time,
     /// When this process read the record that ended the job.
     pub ended: Option<Time>,
 }
 
 impl Entry {
+    /// Tells whether a task has more crashes in a later progress.
+    pub(super) fn counts_crash(&self, later: &Progress) -> bool {
+        let known = |position| {
+            let mut tasks = self.progress.iter().flat_map(|progress| &progress.tasks);
+            let task = tasks.find(|task| task.position == position);
+            task.map_or(0, |task| task.crashes)
+        };
+        let mut suspected = later.tasks.iter().filter(|task| task.crashes > 0);
+        suspected.any(|task| task.crashes > known(task.position))
+    }
+
     pub(super) fn new(id: Id) -> Self {
         Self {
             id,
@@ -43,6 +56,7 @@
             cancelled: None,
             progress: None,
             progress_offset: 0,
+            crashed: Time::MIN,
             ended: None,
         }
     }
--- a/crates/job/src/replica/replica.rs
+++ b/crates/job/src/replica/replica.rs
@@ -107,6 +107,9 @@
                 if entry.progress.is_some() && offset <= entry.progress_offset {
                     return Change::None;
                 }
+                if entry.counts_crash(&progress) {
+                    entry.crashed = now;
+                }
                 entry.progress = Some(progress);
                 entry.progress_offset = offset;
                 Change::Progressed(Key::default())
--- a/crates/schedule/src/engine/crash.rs
+++ b/crates/schedule/src/engine/crash.rs
@@ -136,13 +136,18 @@
         }
     }
 
-    /// Judges a task of a former leader. The crashes of other runners in its time are not known, so that only those during
-    /// the pause of the task show whether there is a series.
+    /// Judges a task of a former leader. The crashes of other runners in its time are not known, so that the task pauses
+    /// again: only those during the pause show whether there is a series.
     pub(super) fn restore_finding(&mut self, task: TaskKey, now: Time) {
         match self.judge(task, now) {
             Finding::Few => {}
             Finding::Limit => self.give_up_crashing(task, now),
-            Finding::Series | Finding::Open | Finding::Proved => self.postpone_finding(task),
+            Finding::Series | Finding::Open | Finding::Proved => {
+                if let Some(state) = self.task_mut(task) {
+                    loss::pause(state, now);
+                }
+                self.postpone_finding(task);
+            }
         }
     }
 
--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -122,10 +122,10 @@
     Some((begun + CRASH_WINDOW).since(now))
 }
 
-/// Pauses a task that may have crashed too many runners.
-pub(super) fn pause(task: &mut job::Task, now: Time) {
+/// Pauses a task that may have crashed too many runners, the last one of them at `crashed`.
+pub(super) fn pause(task: &mut job::Task, crashed: Time) {
     if task.crashes >= CRASH_LIMIT {
-        task.paused_until = now + CRASH_PAUSE;
+        task.paused_until = crashed + CRASH_PAUSE;
     }
 }
 
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -46,7 +46,7 @@
         }
         let key = self.insert_job(Arc::clone(job));
         if let Some(progress) = progress {
-            self.restore_progress(key, progress, now);
+            self.restore_progress(key, progress, entry.crashed, now);
         }
         match outcome {
             Some(outcome) => self.finish_job(key, outcome, "inherited", now),
@@ -59,7 +59,7 @@
         }
     }
 
-    fn restore_progress(&mut self, key: job::Key, progress: &Progress, now: Time) {
+    fn restore_progress(&mut self, key: job::Key, progress: &Progress, crashed: Time, now: Time) {
         let active = &mut self.jobs[key];
         active.begun = progress.begun;
         active.finished = progress.finished;
@@ -72,7 +72,7 @@
             active.occurrences.push(Occurrence::new(&job, number, from));
         }
         for task in &progress.tasks {
-            self.restore_task(key, task, now);
+            self.restore_task(key, task, crashed, now);
         }
         let numbers: Vec<u32> = self.jobs[key]
             .occurrences
@@ -84,7 +84,7 @@
         }
     }
 
-    fn restore_task(&mut self, key: job::Key, kept: &progress::Task, now: Time) {
+    fn restore_task(&mut self, key: job::Key, kept: &progress::Task, crashed: Time, now: Time) {
         let position = kept.position;
         let active = &mut self.jobs[key];
         let Some(state) = active.task_mut(position.occurrence, position.step, position.index)
@@ -93,7 +93,7 @@
         };
         state.failures = kept.failures;
         state.crashes = kept.crashes;
-        loss::pause(state, now);
+        loss::pause(state, crashed);
         state.attempt = kept.attempt;
         state.checkpoint = kept.checkpoint.clone();
         if kept.done {
--- a/crates/schedule/tests/engine/restore.rs
+++ b/crates/schedule/tests/engine/restore.rs
@@ -2,6 +2,7 @@
 
 use crate::harness::{
     Harness,
+    long_running,
     step, //
 };
 use sassafrascrank_job::prelude::*;
@@ -58,6 +59,27 @@
     }
 }
 
+/// Guards against a pause after crashes that begins anew with each leader.
+#[test]
+fn pause_of_a_long_running_task_goes_on_under_the_next_leader() {
+    let mut harness = Harness::new(6, 1);
+    harness.task_duration = |_| None;
+    harness.submit(1, vec![long_running(1, 1)]);
+    for _ in 0..3 {
+        harness.run_ms(200);
+        let mut ids = harness.runners.keys();
+        let id = ids.find(|id| !harness.running(id).is_empty()).cloned();
+        harness.restart_runner(&id.expect("the task runs"));
+    }
+    for _ in 0..2 {
+        harness.run_ms(1_000);
+        harness.take_over();
+    }
+    // The pause takes 3 s.
+    harness.run_ms(1_300);
+    assert_eq!(harness.running_count(), 1, "{}", harness.timeline());
+}
+
 /// Guards against a crash that is counted although the runner was about to leave.
 #[test]
 fn runner_that_was_draining_does_not_count() {
