fix(control): let another entry take over from a leader that can't read the log

Callers saw queues that stood while entries were ready: a leader whose last read of the jobs began more than 2 s ago starts nothing, but its heartbeats were appended, so no other entry claimed.

The class of fault: a process proves that it is alive by a duty other than the one that the others wait for.

The record of a leader now says whether it is behind the log, from the moment at which it stops starting tasks. An entry whose last read began at most 1 s ago then claims as after a resignation. The leader does not resign. It goes on renewing leases until the log or a runner rejects it, so nothing lapses if no entry reads the log; and to its successor it is a leader that may still give orders, so the wait for leases at unreachable runners is that of any takeover. An entry with reads as slow as the leader's doesn't claim, since 1 s is half of the age at which a leader is behind.

`claim` names its reason. The record has the new field only while a leader is behind.

--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -286,6 +286,7 @@
                 epoch: leader.epoch,
                 capacity: leader.capacity,
                 resigned: leader.resigned,
+                behind: leader.behind,
                 writer: self.writer_of(leader),
             },
             Record::Progress(progress) => self.observation_of(progress.epoch),
@@ -327,6 +328,7 @@
             epoch,
             capacity: leader.map_or(0, |leader| leader.capacity),
             resigned: leader.is_some_and(|leader| leader.resigned),
+            behind: leader.is_some_and(|leader| leader.behind),
             writer: leader.map_or(Writer::Unknown, |leader| self.writer_of(leader)),
         }
     }
--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -54,6 +54,8 @@
     pub(super) epoch: u64,
     /// When the append of the claim began, once the log has answered it.
     pub(super) stored: Option<Time>,
+    /// Whether the last record of this leader says that it is behind the log.
+    behind: bool,
     /// What is known of the leader before this claim.
     pub(super) predecessor: Predecessor,
     /// Until then, attempts that leaders before the predecessor started may go on.
@@ -156,13 +158,14 @@
         self.claim = Some(Claim {
             epoch,
             stored: None,
+            behind: false,
             predecessor,
             runs_until,
             number: self.claims,
             runners: BTreeMap::new(),
             runners_read: false,
         });
-        let record = self.leader_record(epoch, false);
+        let record = Record::Leader(self.leader_record(epoch));
         self.out
             .requests
             .push(store::Request::Lead { epoch, record });
@@ -172,21 +175,29 @@
             runners: Some(self.claims),
         });
         let silence = now.since(self.election.observed_at());
+        let reason = match self.replica.leader() {
+            None => "no-leader",
+            Some(leader) if leader.resigned => "resigned",
+            Some(leader) if leader.behind => "behind",
+            Some(_) => "silent",
+        };
         let event = Event::new("claim", now)
+            .with("reason", Value::Code(reason))
             .with("epoch", Value::Count(epoch))
             .with("silence", Value::Duration(silence));
         self.out.events.push(event);
     }
 
-    fn leader_record(&self, epoch: u64, resigned: bool) -> Record {
-        Record::Leader(Leader {
+    fn leader_record(&self, epoch: u64) -> Leader {
+        Leader {
             epoch,
             holder: Arc::clone(&self.identity.name),
             incarnation: self.identity.incarnation,
-            resigned,
+            resigned: false,
+            behind: self.claim.as_ref().is_some_and(|claim| claim.behind),
             runs_until: self.runs_until(),
             capacity: self.identity.capacity,
-        })
+        }
     }
 
     /// Returns until when attempts that earlier leaders started may go on at runners that don't answer.
@@ -319,7 +330,9 @@
         }
     }
 
-    /// Appends the records of new decisions, or a heartbeat if there are none and it is due.
+    /// Appends the records of new decisions, or a heartbeat if there are none and it is due. A heartbeat also tells the
+    /// other entries at once when this one can't read the log in time, and when it can again. It does not resign, since
+    /// perhaps none of them reads the log, and the leases of running tasks have to be renewed.
     fn append_due_records(&mut self, now: Time) {
         if self.append_pending || now < self.last_append + APPEND_INTERVAL {
             return;
@@ -331,11 +344,17 @@
             .engine
             .as_mut()
             .and_then(|engine| engine.take_records());
+        let is_changed = self.update_behind(now);
         let records = match records {
-            Some(records) => records,
-            None if self.election.is_heartbeat_due(now) => {
+            Some(mut records) => {
+                if is_changed {
+                    records.push(Record::Leader(self.leader_record(epoch)));
+                }
+                records
+            }
+            None if is_changed || self.election.is_heartbeat_due(now) => {
                 let expired = self.replica.expired(now - self.retention, FORGET_LIMIT);
-                let mut records = vec![self.leader_record(epoch, false)];
+                let mut records = vec![Record::Leader(self.leader_record(epoch))];
                 records.extend(expired.into_iter().map(Record::Forget));
                 records
             }
@@ -347,6 +366,15 @@
         self.out.requests.push(store::Request::Write(records));
     }
 
+    /// Updates whether this leader is behind the log. Returns whether that has changed.
+    fn update_behind(&mut self, now: Time) -> bool {
+        let behind = !self.is_fresh(now);
+        let Some(claim) = &mut self.claim else {
+            return false;
+        };
+        core::mem::replace(&mut claim.behind, behind) != behind
+    }
+
     /// Handles the result of an append of the leader.
     pub(super) fn handle_written(
         &mut self,
@@ -423,7 +451,10 @@
             Some(engine) => engine.take_records().unwrap_or_default(),
             None => Vec::new(),
         };
-        records.push(self.leader_record(epoch, true));
+        records.push(Record::Leader(Leader {
+            resigned: true,
+            ..self.leader_record(epoch)
+        }));
         self.engine = None;
         self.claim = None;
         self.out.requests.push(store::Request::Write(records));
--- a/crates/control/tests/service_list.rs
+++ b/crates/control/tests/service_list.rs
@@ -143,6 +143,7 @@
             holder: "other".into(),
             incarnation: 5,
             resigned: false,
+            behind: false,
             runs_until: Time::MIN,
             capacity: 1_000,
         })]);
--- a/crates/control/tests/simulation/entry.rs
+++ b/crates/control/tests/simulation/entry.rs
@@ -67,6 +67,8 @@
     pub(super) incarnation: u64,
     pub(super) paused_until: Duration,
     pub(super) log_cut_until: Duration,
+    /// Until then reads of the log fail.
+    pub(super) reads_cut_until: Duration,
     /// Reads that begin before the first time are handled later by the second.
     pub(super) read_delay: (Duration, Duration),
     next_offset: Option<u64>,
@@ -92,6 +94,7 @@
             incarnation: 0,
             paused_until: Duration::ZERO,
             log_cut_until: Duration::ZERO,
+            reads_cut_until: Duration::ZERO,
             read_delay: (Duration::ZERO, Duration::ZERO),
             next_offset: None,
             newest: None,
@@ -302,7 +305,8 @@
         if self.entries[index].incarnation != incarnation || self.entries[index].control.is_none() {
             return;
         }
-        if self.entries[index].log_cut_until > self.now {
+        let entry = &self.entries[index];
+        if entry.log_cut_until.max(entry.reads_cut_until) > self.now {
             self.entries[index].newest = None;
             let failed = store::Event::ReadFailed {
                 topic: port::Topic::Jobs,
--- a/crates/control/tests/simulation/event.rs
+++ b/crates/control/tests/simulation/event.rs
@@ -92,6 +92,8 @@
     CutRunnerFromAll { runner: usize, until: Duration },
     /// The leader can't reach the log, and no other entry can reach a runner that the leader still reaches.
     CutLeader { runner: usize, until: Duration },
+    /// The reads of the leader fail, but not its appends, and no other entry can reach a runner.
+    CutReads { runner: usize, until: Duration },
     /// A runner is killed and starts again.
     Crash { runner: usize },
     /// A killed process starts again.
@@ -199,6 +201,7 @@
                 }
             }
             Event::CutLeader { runner, until } => self.cut_leader(runner, until),
+            Event::CutReads { runner, until } => self.cut_reads(runner, until),
             Event::Crash { runner } => self.crash(runner),
         }
     }
@@ -224,15 +227,28 @@
     }
 
     fn cut_leader(&mut self, runner: usize, until: Duration) {
-        let Some(leader) = (0..self.entries.len()).find(|&entry| self.leads(entry)) else {
-            return;
-        };
-        self.entries[leader].log_cut_until = self.entries[leader].log_cut_until.max(until);
+        if let Some(leader) = self.cut_others(runner, until) {
+            let cut = &mut self.entries[leader].log_cut_until;
+            *cut = (*cut).max(until);
+        }
+    }
+
+    fn cut_reads(&mut self, runner: usize, until: Duration) {
+        if let Some(leader) = self.cut_others(runner, until) {
+            let cut = &mut self.entries[leader].reads_cut_until;
+            *cut = (*cut).max(until);
+        }
+    }
+
+    /// Cuts all entries but the leader from a runner. Returns the leader.
+    fn cut_others(&mut self, runner: usize, until: Duration) -> Option<usize> {
+        let leader = (0..self.entries.len()).find(|&entry| self.leads(entry))?;
         for entry in 0..self.entries.len() {
             if entry != leader {
                 self.cut(entry, runner, until);
             }
         }
+        Some(leader)
     }
 
     fn crash(&mut self, runner: usize) {
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -85,6 +85,8 @@
     pub(crate) late_reads: usize,
     /// Range of the delay of these reads, in milliseconds.
     pub(crate) read_delay_ms: (u64, u64),
+    /// Number of times that the reads of the leader begin to fail although its appends succeed.
+    pub(crate) failed_reads: usize,
     /// Range of the time after which the front thread passes an answer to its caller, in milliseconds; `None` if it does
     /// so at once.
     pub(crate) answer_delay_ms: Option<(u64, u64)>,
@@ -106,6 +108,7 @@
             late_reports: 0.0,
             short_leads: 0.0,
             late_reads: 0,
+            failed_reads: 0,
             read_delay_ms: (500, 6_500),
             answer_delay_ms: None,
             expiries: 0,
@@ -326,6 +329,14 @@
             };
             self.push(at, fault);
         }
+        for _ in 0..self.scenario.failed_reads {
+            let at = self.millis(300, 6_000);
+            let fault = Event::CutReads {
+                runner: self.rng.random_range(0..self.scenario.workers),
+                until: (at + self.millis(300, 6_000)).min(FAULTS_END),
+            };
+            self.push(at, fault);
+        }
         for _ in 0..self.scenario.expiries {
             let at = self.millis(500, 9_000);
             self.push(at, Event::Expire);
--- a/crates/control/tests/stale/main.rs
+++ b/crates/control/tests/stale/main.rs
@@ -108,3 +108,34 @@
     }
     insta::assert_snapshot!(report);
 }
+
+/// Guards against queues that stand although entries read the log: the leader's reads fail, get no answer or are slow,
+/// so it starts nothing, but its appends succeed, so it keeps the lead. A job may stand for 3 s.
+#[test]
+fn entry_that_reads_the_log_takes_over_from_a_leader_that_does_not() {
+    let mut report = String::new();
+    for (name, reads) in [
+        ("reads fail", Reads::Failing),
+        ("reads get no answer", Reads::Unanswered),
+        (
+            "reads take 5 s",
+            Reads::Answered(Duration::from_millis(5_000)),
+        ),
+    ] {
+        let (mut site, leader) = led(3);
+        let claims = site.claims;
+        site.set_reads([leader], reads);
+        site.submit(job(2));
+        let wait = site.run_until(OUTAGE, |site| site.starts.len() > 1);
+        let stands = wait.is_none_or(|wait| wait > 3_000);
+        site.run(Duration::from_secs(4));
+        writeln!(
+            report,
+            "{name}: job starts after {wait:?} ms, stands for too long: {stands}, claims {}, led by another: {}",
+            site.claims - claims,
+            !site.leaders().contains(&leader),
+        )
+        .unwrap();
+    }
+    insta::assert_snapshot!(report);
+}
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -181,6 +181,17 @@
     assert_none(&faults(scenario, 0..READ_SCHEDULES), |_| true);
 }
 
+/// Guards against two attempts of a task at the same time, and against jobs that are lost, after an entry has taken the
+/// lead from a leader whose reads fail. That leader goes on renewing leases at runners that the new one can't reach.
+#[test]
+fn no_task_runs_twice_when_the_reads_of_the_leader_fail() {
+    let scenario = Scenario {
+        failed_reads: 6,
+        ..Scenario::default()
+    };
+    assert_none(&faults(scenario, 0..READ_SCHEDULES), |_| true);
+}
+
 /// Guards against reports on orders of an earlier lead that count for the runs and runners of a later lead of the same
 /// entry: a run counts as started or lost that is not, and the leader gives up the lead.
 #[test]
--- a/crates/job/src/record/leader.rs
+++ b/crates/job/src/record/leader.rs
@@ -21,6 +21,13 @@
     runs_until: u64,
     #[serde(default)]
     capacity: u32,
+    /// Left out if it is false, so that entries of versions without it can read the records of a leader that keeps up.
+    #[serde(default, skip_serializing_if = "is_false")]
+    behind: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -63,6 +70,7 @@
             resigned: leader.resigned,
             runs_until: leader.runs_until.as_micros(),
             capacity: leader.capacity,
+            behind: leader.behind,
         }
     }
 }
@@ -76,6 +84,7 @@
             resigned: wire.resigned,
             runs_until: Time::from_micros(wire.runs_until),
             capacity: wire.capacity,
+            behind: wire.behind,
         }
     }
 }
--- a/crates/job/src/record/record.rs
+++ b/crates/job/src/record/record.rs
@@ -19,6 +19,8 @@
     pub incarnation: u64,
     /// The leader has given up its role.
     pub resigned: bool,
+    /// The leader can't read the log in time. It starts no tasks, and keeps those that run until another entry claims.
+    pub behind: bool,
     /// Until then, attempts that earlier leaders started may go on at runners that don't answer.
     pub runs_until: Time,
     /// Processor capacity of the entry in thousandths of a core.
--- a/crates/lead/src/election/election.rs
+++ b/crates/lead/src/election/election.rs
@@ -77,6 +77,8 @@
     pub capacity: u32,
     /// The writer has given up its role.
     pub resigned: bool,
+    /// The writer can't read the log in time, and leads only until another entry claims.
+    pub behind: bool,
     /// The writer.
     pub writer: Writer,
 }
@@ -96,6 +98,8 @@
     observed_at: Time,
     /// When the latest epoch was first observed.
     leader_since: Time,
+    /// Since when the latest leader is behind the log, as far as it was observed.
+    behind_since: Option<Time>,
     /// Start of the first of the successful reads since the last failure or long pause.
     reading_since: Option<Time>,
     /// End of the last successful read.
@@ -123,6 +127,7 @@
             latest: None,
             observed_at: now,
             leader_since: now,
+            behind_since: None,
             reading_since: None,
             last_read: Time::MIN,
             read_started: Time::MIN,
@@ -182,8 +187,13 @@
         }
         if observation.epoch > known {
             self.leader_since = now;
+            self.behind_since = None;
             self.due_since = None;
         }
+        self.behind_since = match observation.behind {
+            true => self.behind_since.or(Some(now)),
+            false => None,
+        };
         self.latest = Some(observation);
         // The records that are read first after an outage of the log may have been written before it, so they don't
         // show that the leader is alive.
@@ -247,10 +257,15 @@
             self.reading_since = None;
             return false;
         }
-        if now.since(self.read_started) > self.timing.max_read_delay {
+        let max_delay = match self.behind_since {
+            Some(_) => self.timing.max_takeover_read_delay,
+            None => self.timing.max_read_delay,
+        };
+        if now.since(self.read_started) > max_delay {
             return false;
         }
-        let start = since.max(self.observed_at);
+        // A leader that is behind goes on appending, so the wait does not begin anew with each of its records.
+        let start = since.max(self.behind_since.unwrap_or(self.observed_at));
         let after_outage = since > self.observed_at + self.timing.lease;
         now >= start + self.claim_delay(rank, after_outage) || self.replaces_leader(since, now)
     }
@@ -281,6 +296,7 @@
     /// Forgets what was read of leaders, because this entry no longer reads their records.
     pub fn forget(&mut self) {
         self.latest = None;
+        self.behind_since = None;
         self.reading_since = None;
         self.last_read = Time::MIN;
         self.read_started = Time::MIN;
@@ -325,8 +341,10 @@
             _ if self.awaits_higher_epoch() => self.timing.election_timeout + wait,
             // An earlier incarnation of this entry has ended, and no other process can lead with its epoch.
             Some(leader) if leader.writer == Writer::EarlierIncarnation => Duration::ZERO,
-            Some(leader) if leader.resigned && rank == Rank::Unknown => wait / 2,
-            Some(leader) if leader.resigned => wait,
+            Some(leader) if leader.resigned || leader.behind => match rank {
+                Rank::Unknown => wait / 2,
+                Rank::Known { .. } => wait,
+            },
             None if rank == Rank::Unknown => wait + self.first_start_delay(),
             None => wait,
             Some(_) if after_outage => self.timing.recovery_timeout + wait,
--- a/crates/lead/src/election/timing.rs
+++ b/crates/lead/src/election/timing.rs
@@ -23,6 +23,9 @@
     /// Largest age of the last successful read, counted from its beginning, at which an entry may claim. An entry whose
     /// reads take longer could not do the work of a leader.
     pub max_read_delay: Duration,
+    /// The same if the present leader is behind the log. It is shorter, so that entries with equally slow reads don't
+    /// take the lead from each other.
+    pub max_takeover_read_delay: Duration,
     /// Additional delay of an entry at the first start of a deployment, in full without any processor capacity and none
     /// with a whole core. Nothing is served yet, so there is time for the largest entries to claim first.
     pub first_start_delay: Duration,
@@ -51,6 +54,7 @@
             stagger: Duration::from_millis(300),
             max_read_age: Duration::from_millis(700),
             max_read_delay: Duration::from_millis(2_000),
+            max_takeover_read_delay: Duration::from_millis(1_000),
             first_start_delay: Duration::from_millis(1_000),
             refresh_wait: Duration::from_millis(25),
             smaller_entry_delay: Duration::from_millis(200),
--- a/crates/lead/tests/election.rs
+++ b/crates/lead/tests/election.rs
@@ -21,6 +21,7 @@
         epoch,
         capacity,
         resigned: false,
+        behind: false,
         writer: Writer::Other,
     }
 }
@@ -223,6 +224,7 @@
                     let same = Observation {
                         writer,
                         resigned,
+                        behind: false,
                         ..record(epoch, 1_000)
                     };
                     lost = Some(election.observe(same, now));
--- a/crates/tool/tests/jobs.rs
+++ b/crates/tool/tests/jobs.rs
@@ -97,6 +97,7 @@
         holder: "entry-2".into(),
         incarnation: 1,
         resigned: false,
+        behind: false,
         runs_until: Time::MIN,
         capacity: 250,
     };
