test(soak): run entries as processes under seeded faults

`soak/run` starts entries as processes and signals them; the program `soak` serves the log, the host service and the runners, stands as a proxy before each of them for each entry, plays callers, and judges LOST and TWICE. All choices follow from the seed; the timing of the processes does not.

--- /dev/null
+++ b/crates/soak/src/judge.rs
@@ -0,0 +1,256 @@
+//! The rules LOST and TWICE, judged on what callers, runners and the stand-in have seen.
+
+use crate::job::Job;
+use sassafrascrank_standin::cluster::{
+    MAX_ATTEMPTS,
+    Record,
+    Snapshot, //
+};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+/// Time for which nothing may stand still.
+const STILL: Duration = Duration::from_secs(3);
+/// Time after the last run of a long-running task in which it needs no run.
+const RESTART: Duration = Duration::from_secs(6);
+/// Time without faults before a long-running task is judged, the 3 s of [`STILL`] included.
+const CALM: Duration = Duration::from_secs(7);
+/// Time after the acknowledgement of a job in which it may be unknown.
+const VISIBLE: Duration = Duration::from_secs(3);
+
+/// A broken rule.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Case {
+    /// The rule, and how it was broken.
+    pub rule: &'static str,
+    /// Id of the job.
+    pub job: String,
+    /// Task, or empty for the whole job.
+    pub task: String,
+    /// When it was found.
+    pub at: Duration,
+    /// What was seen.
+    pub detail: String,
+}
+
+/// Observes a run.
+#[derive(Debug, Default)]
+pub struct Judge {
+    /// Since when a job has stood still, or a long-running task has had no run though it could.
+    idle: BTreeMap<String, Duration>,
+    /// Broken rules, one for each job, task and rule.
+    cases: BTreeMap<(&'static str, String), Case>,
+}
+
+/// Returns the number of the step in a task's name, which has the form ID.K.STEP.INDEX.
+fn step(task: &str) -> Option<usize> {
+    task.split('.').nth(2)?.parse().ok()
+}
+
+/// Returns the CPU that a task requests.
+fn cpu(jobs: &BTreeMap<String, Job>, task: &str) -> u64 {
+    let job = task.split('.').next().and_then(|id| jobs.get(id));
+    let step = job
+        .zip(step(task))
+        .and_then(|(job, step)| job.steps.get(step));
+    step.map_or(0, |step| step.cpu)
+}
+
+/// Tells whether a pool has room for two tasks of this size while under half of it is in use.
+fn has_room(jobs: &BTreeMap<String, Job>, snapshot: &Snapshot, pool: &str, wanted: u64) -> bool {
+    let (mut total, mut used, mut fits) = (0, 0, 0);
+    for node in snapshot.nodes.iter().filter(|node| node.pool == pool) {
+        let busy: u64 = node.tasks.iter().map(|task| cpu(jobs, task)).sum();
+        total += node.cpu;
+        used += busy;
+        fits += node.cpu.saturating_sub(busy) / wanted.max(1);
+    }
+    fits >= 2 && used * 2 < total
+}
+
+impl Judge {
+    /// Observes one moment. `calm` is the time without faults before it; ordinary jobs are judged if `finished`.
+    pub fn observe(
+        &mut self,
+        jobs: &BTreeMap<String, Job>,
+        snapshot: &Snapshot,
+        calm: Duration,
+        finished: bool,
+    ) {
+        let mut runs: BTreeMap<&str, Vec<&Record>> = BTreeMap::new();
+        for record in &snapshot.records {
+            runs.entry(&record.run.task).or_default().push(record);
+        }
+        for (id, job) in jobs.iter().filter(|(_, job)| job.is_owed()) {
+            match job.work {
+                Some(_) => self.observe_ordinary(jobs, snapshot, &runs, (id, job), finished),
+                None => self.observe_lasting(jobs, snapshot, &runs, (id, job), calm),
+            }
+        }
+    }
+
+    /// Records since when `key` has stood still, and tells for how long.
+    fn stood(&mut self, key: String, still: bool, now: Duration) -> Duration {
+        if !still {
+            self.idle.remove(&key);
+            return Duration::ZERO;
+        }
+        now - *self.idle.entry(key).or_insert(now)
+    }
+
+    fn observe_ordinary(
+        &mut self,
+        jobs: &BTreeMap<String, Job>,
+        snapshot: &Snapshot,
+        runs: &BTreeMap<&str, Vec<&Record>>,
+        (id, job): (&str, &Job),
+        finished: bool,
+    ) {
+        let ended = |task: &str, outcome: &str| {
+            let runs = runs.get(task).into_iter().flatten();
+            runs.filter(|record| record.run.outcome == outcome).count()
+        };
+        let names = |step: usize| {
+            (0..job.steps[step].tasks).map(move |index| format!("{id}.0.{step}.{index}"))
+        };
+        let turn = (0..job.steps.len()).find_map(|step| {
+            names(step)
+                .find(|task| ended(task, "done") == 0)
+                .map(|task| (step, task))
+        });
+        let Some((step, task)) = turn else {
+            self.idle.remove(id);
+            return;
+        };
+        let runs_now = (0..job.steps.len())
+            .flat_map(names)
+            .any(|task| ended(&task, "running") > 0);
+        let room = has_room(jobs, snapshot, &job.pool, job.steps[step].cpu);
+        let still = finished && !runs_now && room;
+        let stood = self.stood(id.to_owned(), still, snapshot.now);
+        if stood >= STILL {
+            let since = snapshot.now - stood;
+            let detail = format!("nothing running since {since:.1?}, though this task could run");
+            self.find("LOST still", id, &task, snapshot.now, detail);
+        }
+    }
+
+    fn observe_lasting(
+        &mut self,
+        jobs: &BTreeMap<String, Job>,
+        snapshot: &Snapshot,
+        runs: &BTreeMap<&str, Vec<&Record>>,
+        (id, job): (&str, &Job),
+        calm: Duration,
+    ) {
+        for index in 0..job.steps[0].tasks {
+            let task = format!("{id}.0.0.{index}");
+            let runs = runs.get(task.as_str()).map_or(&[][..], Vec::as_slice);
+            let running = runs.iter().any(|record| record.run.outcome == "running");
+            let last = runs.iter().map(|record| record.run.ended).max();
+            let since = last.or(job.accepted).unwrap_or_default() + RESTART;
+            let room = has_room(jobs, snapshot, &job.pool, job.steps[0].cpu);
+            let still = !running && since <= snapshot.now && room;
+            let stood = self.stood(task.clone(), still, snapshot.now);
+            if stood >= STILL && calm >= CALM {
+                let from = snapshot.now - stood;
+                let detail = format!("no run since {from:.1?}, {RESTART:?} after its last one");
+                self.find("LOST lasting", id, &task, snapshot.now, detail);
+            }
+        }
+    }
+
+    /// Judges what callers were told, and the runs of each task.
+    pub fn conclude(
+        &mut self,
+        jobs: &BTreeMap<String, Job>,
+        snapshot: &Snapshot,
+        finished: Duration,
+    ) {
+        let mut runs: BTreeMap<&str, Vec<&Record>> = BTreeMap::new();
+        for record in &snapshot.records {
+            runs.entry(&record.run.task).or_default().push(record);
+        }
+        for (id, job) in jobs.iter().filter(|(_, job)| job.is_owed()) {
+            self.conclude_shown((id, job), &runs, finished);
+        }
+        for (task, mut runs) in runs {
+            runs.sort_by_key(|record| record.run.began);
+            let id = task.split('.').next().unwrap_or_default();
+            for pair in runs.windows(2) {
+                if pair[1].run.began < pair[0].run.ended {
+                    let detail = "two runs at the same time".to_owned();
+                    self.find("TWICE", id, task, pair[1].run.began, detail);
+                }
+            }
+            let done = runs
+                .iter()
+                .position(|record| record.run.outcome == "done" && record.run.acknowledged);
+            if let Some(again) = done.and_then(|done| runs.get(done + 1)) {
+                let detail = "a start after an end `done` that was taken note of".to_owned();
+                self.find("TWICE", id, task, again.run.began, detail);
+            }
+        }
+    }
+
+    fn conclude_shown(
+        &mut self,
+        (id, job): (&str, &Job),
+        runs: &BTreeMap<&str, Vec<&Record>>,
+        finished: Duration,
+    ) {
+        let prefix = format!("{id}.");
+        let of_job = runs.iter().filter(|(task, _)| task.starts_with(&prefix));
+        let most = of_job
+            .map(|(_, runs)| {
+                runs.iter()
+                    .filter(|record| record.run.outcome == "failed")
+                    .count()
+            })
+            .max();
+        let most = most.unwrap_or(0);
+        for (at, entry, state) in &job.shown {
+            let known = job.accepted.unwrap_or_default() + VISIBLE;
+            let wrong = match state.as_str() {
+                "failed" if most < MAX_ATTEMPTS => Some("LOST failed"),
+                "cancelled" => Some("LOST cancelled"),
+                "410" if *at >= finished.max(known) => Some("LOST unknown"),
+                _ => None,
+            };
+            if let Some(rule) = wrong {
+                let detail =
+                    format!("{state} at entry {entry}; at most {most} ends of a task are `failed`");
+                self.find(rule, id, "", *at, detail);
+            }
+        }
+        let answered = |state: &str| {
+            matches!(
+                state,
+                "queued" | "running" | "done" | "failed" | "cancelled" | "410"
+            )
+        };
+        let mut late = job.shown.iter().filter(|(at, _, _)| *at >= finished);
+        if !late.any(|(_, _, state)| answered(state)) {
+            let detail = "no answer at the end".to_owned();
+            self.find("LOST unanswered", id, "", finished, detail);
+        }
+    }
+
+    fn find(&mut self, rule: &'static str, job: &str, task: &str, at: Duration, detail: String) {
+        let key = (rule, format!("{job} {task}"));
+        self.cases.entry(key).or_insert_with(|| Case {
+            rule,
+            job: job.to_owned(),
+            task: task.to_owned(),
+            at,
+            detail,
+        });
+    }
+
+    /// Returns the broken rules.
+    pub fn cases(&self) -> Vec<Case> {
+        self.cases.values().cloned().collect()
+    }
+}
--- a/crates/standin/src/cluster/cluster.rs
+++ b/crates/standin/src/cluster/cluster.rs
@@ -1,14 +1,16 @@
 //! The services of a cluster on loopback addresses.
 
 use super::{
-    Entry, Execution, Plan,
+    Entry, Execution, Fault, Network, Phase, Plan, Snapshot,
     answer::Answer,
-    entry::listen,
+    entry::listen_at,
     runner,
     service::{
         self,
+        Closed,
         lock, //
     },
+    snapshot,
     state::{
         OPERATOR_TOPIC,
         State, //
@@ -45,8 +47,6 @@
     },
 };
 
-/// Time between two records that a runner writes about itself.
-const REGISTRATION_INTERVAL: Duration = Duration::from_millis(100);
 /// Topic in which the system under test publishes the state of waves.
 const WAVE_TOPIC: &str = "keyed.status";
 
@@ -55,6 +55,8 @@
 pub struct Cluster {
     state: Arc<Mutex<State>>,
     address: SocketAddr,
+    views: Vec<SocketAddr>,
+    runners: Vec<SocketAddr>,
 }
 
 impl Cluster {
@@ -64,19 +66,43 @@
     ///
     /// Fails if no loopback address is free or the thread can't be started.
     pub fn start(plan: Plan) -> io::Result<Self> {
+        Self::start_on(plan, &Network::default())
+    }
+
+    /// Starts the services on the addresses of `network`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is not free or the thread can't be started.
+    pub fn start_on(plan: Plan, network: &Network) -> io::Result<Self> {
         let hosts: usize = plan.pools.iter().map(|pool| pool.hosts).sum();
+        let listen = || listen_at(network.address);
         let platform = listen()?;
         let address = platform.local_addr()?;
         let runners: Vec<TcpListener> = (0..hosts).map(|_| listen()).collect::<Result<_, _>>()?;
         let addresses = runners.iter().map(TcpListener::local_addr);
-        let state = State::new(plan, addresses.collect::<Result<_, _>>()?);
+        let addresses: Vec<SocketAddr> = addresses.collect::<Result<_, _>>()?;
+        let views = network.views.iter().map(|_| listen());
+        let views: Vec<TcpListener> = views.collect::<Result<_, _>>()?;
+        let view_addresses = views.iter().map(TcpListener::local_addr);
+        let view_addresses = view_addresses.collect::<Result<_, _>>()?;
+        let state = State::new(plan, network, addresses.clone());
         let state = Arc::new(Mutex::new(state));
         let shared = Arc::clone(&state);
+        let registration = network.registration;
         let runtime = Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new()
             .name("cluster".to_owned())
-            .spawn(move || LocalSet::new().block_on(&runtime, run(shared, platform, runners)))?;
-        Ok(Self { state, address })
+            .spawn(move || {
+                let services = run(shared, platform, views, runners, registration);
+                LocalSet::new().block_on(&runtime, services)
+            })?;
+        Ok(Self {
+            state,
+            address,
+            views: view_addresses,
+            runners: addresses,
+        })
     }
 
     /// Returns the settings file and the open listeners of an entry.
@@ -140,7 +166,53 @@
         let state = lock(&self.state);
         let workers = state.nodes.values().filter_map(|node| node.worker.as_ref());
         let present = workers.flat_map(|worker| worker.history.clone());
-        state.history.iter().cloned().chain(present).collect()
+        let past = state.history.iter().map(|(_, run)| run.clone());
+        past.chain(present).collect()
+    }
+
+    /// Returns the addresses at which each entry of [`Network::views`] reads the log.
+    pub fn view_addresses(&self) -> &[SocketAddr] {
+        &self.views
+    }
+
+    /// Returns the addresses of the runners in the order of host numbers.
+    pub fn runner_addresses(&self) -> &[SocketAddr] {
+        &self.runners
+    }
+
+    /// Returns all runs, and the hosts with their runners.
+    pub fn snapshot(&self) -> Snapshot {
+        snapshot::take(&mut lock(&self.state))
+    }
+
+    /// Sets the fault of the log for an entry of [`Network::views`].
+    pub fn set_fault(&self, view: usize, fault: Fault) {
+        if let Some(view) = lock(&self.state).views.get_mut(view) {
+            view.fault = fault;
+        }
+    }
+
+    /// Ends the runner of a host without notice.
+    pub fn crash(&self, host: &str) {
+        lock(&self.state).crash_runner(host);
+    }
+
+    /// Starts the runner of a host in operation that has none, with a new id or with the last one.
+    pub fn restart(&self, host: &str, same_id: bool) {
+        lock(&self.state).restart_runner(host, same_id);
+    }
+
+    /// Announces that the runner of a host leaves after `remaining`.
+    pub fn drain(&self, host: &str, remaining: Duration) {
+        let mut state = lock(&self.state);
+        let at = state.now() + remaining;
+        let up = state.hosts.hosts.get(host).map(|host| host.phase) == Some(Phase::Up);
+        if let Some(node) = state.nodes.get_mut(host)
+            && up
+        {
+            node.leaves_at.get_or_insert(at);
+        }
+        state.register(host);
     }
 
     /// Compacts the topics of operators and runners: only the newest record of each key is kept.
@@ -151,15 +223,25 @@
     }
 }
 
-async fn run(state: Arc<Mutex<State>>, platform: TcpListener, runners: Vec<TcpListener>) {
-    let shared = Arc::clone(&state);
-    spawn_local(accept(platform, move |request: Request<Incoming>| {
-        let state = Arc::clone(&shared);
-        async move {
-            let (head, body) = split(request).await;
-            service::serve(&state, &head, &body).await
-        }
-    }));
+async fn run(
+    state: Arc<Mutex<State>>,
+    platform: TcpListener,
+    views: Vec<TcpListener>,
+    runners: Vec<TcpListener>,
+    registration: Duration,
+) {
+    let views = views.into_iter().enumerate();
+    let views = views.map(|(view, listener)| (Some(view), listener));
+    for (view, listener) in std::iter::once((None, platform)).chain(views) {
+        let shared = Arc::clone(&state);
+        spawn_local(accept(listener, move |request: Request<Incoming>| {
+            let state = Arc::clone(&shared);
+            async move {
+                let (head, body) = split(request).await;
+                service::serve_view(&state, view, &head, &body).await
+            }
+        }));
+    }
     let names: Vec<String> = lock(&state).nodes.keys().cloned().collect();
     let mut by_number = names.clone();
     // `State::new` assigns addresses in the order of host numbers, which differs from the order of names.
@@ -171,12 +253,12 @@
             let host = host.clone();
             async move {
                 let (head, body) = split(request).await;
-                runner::serve(&state, &host, &head, &body).await
+                Ok(runner::serve(&state, &host, &head, &body).await)
             }
         }));
     }
     loop {
-        tokio::time::sleep(REGISTRATION_INTERVAL).await;
+        tokio::time::sleep(registration).await;
         lock(&state).advance();
     }
 }
@@ -191,7 +273,7 @@
 async fn accept<S, F>(listener: TcpListener, answer: S)
 where
     S: Fn(Request<Incoming>) -> F + Clone + 'static,
-    F: Future<Output = Answer> + 'static,
+    F: Future<Output = Result<Answer, Closed>> + 'static,
 {
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
         return;
@@ -199,10 +281,7 @@
     while let Ok((stream, _)) = listener.accept().await {
         let answer = answer.clone();
         spawn_local(async move {
-            let service = service_fn(move |request| {
-                let answer = answer(request);
-                async move { Ok::<_, std::convert::Infallible>(answer.await) }
-            });
+            let service = service_fn(answer);
             // An error affects only this connection, and its client notices it.
             let _ = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
--- a/crates/standin/src/cluster/entry.rs
+++ b/crates/standin/src/cluster/entry.rs
@@ -3,6 +3,8 @@
 use std::{
     io,
     net::{
+        IpAddr,
+        Ipv4Addr,
         SocketAddr,
         TcpListener, //
     },
@@ -49,8 +51,11 @@
 }
 
 /// Opens a non-blocking listener on a free port.
-pub(super) fn listen() -> io::Result<TcpListener> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
+fn listen() -> io::Result<TcpListener> {
+    listen_at(IpAddr::V4(Ipv4Addr::LOCALHOST))
+}
+
+/// Opens a non-blocking listener on a free port of a loopback address.
+pub(super) fn listen_at(address: IpAddr) -> io::Result<TcpListener> {
+    crate::listener::listen(SocketAddr::new(address, 0))
 }
--- a/crates/standin/src/cluster/mod.rs
+++ b/crates/standin/src/cluster/mod.rs
@@ -8,8 +8,10 @@
 mod entry;
 mod hosts;
 mod log;
+mod network;
 mod runner;
 mod service;
+mod snapshot;
 mod state;
 mod worker;
 
@@ -27,7 +29,18 @@
     Records,
     Rejected, //
 };
+pub use network::{
+    Fault,
+    Network,
+    View, //
+};
+pub use snapshot::{
+    Node,
+    Record,
+    Snapshot, //
+};
 pub use state::{
+    MAX_ATTEMPTS,
     Plan,
     Pool,
     Queue, //
--- a/crates/standin/src/cluster/runner.rs
+++ b/crates/standin/src/cluster/runner.rs
@@ -98,7 +98,7 @@
     let running: Vec<Value> = worker
         .runs
         .iter()
-        .map(|run| object!([run.task, run.attempt, "", 100, 0]))
+        .map(|run| object!([run.task, run.attempt, "", run.percent(now), 0]))
         .collect();
     let finished: Vec<Value> = worker
         .ends
--- a/crates/standin/src/cluster/service.rs
+++ b/crates/standin/src/cluster/service.rs
@@ -1,7 +1,7 @@
 //! HTTP interface of the log and the host service.
 
 use super::{
-    Producer, Rejected,
+    Fault, Producer, Rejected,
     answer::{
         Answer,
         json,
@@ -19,6 +19,7 @@
     Engine,
     prelude::BASE64_STANDARD as BASE64, //
 };
+use core::fmt;
 use hyper::{
     HeaderMap,
     Method,
@@ -53,13 +54,50 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// The connection ends without an answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Closed;
+
+impl fmt::Display for Closed {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the stand-in ends the connection without an answer")
+    }
+}
+
+impl core::error::Error for Closed {}
+
+/// Responds to a request of an entry with the fault that is set for it. Requests to the host service have no faults.
+pub(super) async fn serve_view(
+    state: &Mutex<State>,
+    view: Option<usize>,
+    head: &Parts,
+    body: &[u8],
+) -> Result<Answer, Closed> {
+    let fault = view.map_or(Fault::None, |view| lock(state).views[view].fault);
+    let path = head.uri.path();
+    let is_log = path.starts_with("/log");
+    match fault {
+        Fault::Down if is_log => Ok(json(StatusCode::SERVICE_UNAVAILABLE, &object!({}))),
+        Fault::FailedReads if is_log && path != "/log-append" => Err(Closed),
+        Fault::LostAnswers if path == "/log-append" => {
+            let _ = serve(state, view, head, body).await;
+            Err(Closed)
+        }
+        Fault::Slow(delay) if is_log => {
+            sleep(delay).await;
+            Ok(serve(state, view, head, body).await)
+        }
+        _ => Ok(serve(state, view, head, body).await),
+    }
+}
+
 /// Responds to a request to the log or the host service.
-pub(super) async fn serve(state: &Mutex<State>, head: &Parts, body: &[u8]) -> Answer {
+async fn serve(state: &Mutex<State>, view: Option<usize>, head: &Parts, body: &[u8]) -> Answer {
     let query = query(head.uri.query());
     match (&head.method, head.uri.path()) {
         (&Method::POST, "/log-append") => append(state, &query, body),
-        (&Method::GET, "/log-read") => read(state, &query).await,
-        (&Method::GET, "/log-newest") => newest(state, &query),
+        (&Method::GET, "/log-read") => read(state, view, &query).await,
+        (&Method::GET, "/log-newest") => newest(state, view, &query),
         (&Method::GET, "/machines") => json(StatusCode::OK, &lock(state).machines()),
         (&Method::POST, "/machine-move" | "/machine-upkeep") => {
             order_host(state, head.uri.path(), &head.headers, body)
@@ -118,14 +156,23 @@
     Some(records)
 }
 
-async fn read(state: &Mutex<State>, query: &HashMap<String, String>) -> Answer {
+async fn read(
+    state: &Mutex<State>,
+    view: Option<usize>,
+    query: &HashMap<String, String>,
+) -> Answer {
     let topic = query.get("topic").cloned().unwrap_or_default();
     let from = number(query, "from").unwrap_or_default();
     let wait = Duration::from_millis(number(query, "waitMs").unwrap_or_default());
     let limit = number(query, "maxKb").unwrap_or(DEFAULT_READ_KILOBYTES) << 10;
     let begun = Instant::now();
     loop {
-        match lock(state).log.read(&topic, from) {
+        let read = {
+            let state = lock(state);
+            let read = state.log.read(&topic, from);
+            read.map(|(end, rows)| (end, state.seen_by(view, &topic, rows)))
+        };
+        match read {
             Err(first) => return json(StatusCode::GONE, &object!({ "first": first })),
             Ok((end, records)) if !records.is_empty() || begun.elapsed() >= wait => {
                 let mut body = Vec::new();
@@ -149,11 +196,15 @@
     }
 }
 
-fn newest(state: &Mutex<State>, query: &HashMap<String, String>) -> Answer {
+fn newest(state: &Mutex<State>, view: Option<usize>, query: &HashMap<String, String>) -> Answer {
     let topic = query.get("topic").cloned().unwrap_or_default();
-    let (end, rows) = lock(state).log.newest(&topic);
-    let item = |(offset, key, value): (u64, String, Vec<u8>)| object!({ "key": key, "value": BASE64.encode(&value), "offset": offset });
-    let items: Vec<Value> = rows.into_iter().map(item).collect();
+    let state = lock(state);
+    let (end, rows) = state.log.newest(&topic);
+    let offsets: Vec<u64> = rows.iter().map(|(offset, _, _)| *offset).collect();
+    let rows = rows.into_iter().map(|(_, key, value)| (key, value));
+    let rows = state.seen_by(view, &topic, rows.collect());
+    let item = |(offset, (key, value)): (u64, (String, Vec<u8>))| object!({ "key": key, "value": BASE64.encode(&value), "offset": offset });
+    let items: Vec<Value> = offsets.into_iter().zip(rows).map(item).collect();
     json(
         StatusCode::OK,
         &object!({ "items": items, "hasMore": false, "end": end }),
--- a/crates/standin/src/cluster/state.rs
+++ b/crates/standin/src/cluster/state.rs
@@ -4,13 +4,18 @@
     Execution,
     Hosts,
     Log,
+    Network,
     Phase,
+    View,
     Worker, //
 };
 use serde_json::json;
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     time::{
         Duration,
         Instant,
@@ -23,6 +28,10 @@
 pub(super) const RUNNER_TOPIC: &str = "keyed.servers";
 /// Topic of the configuration and of waves.
 pub(super) const OPERATOR_TOPIC: &str = "keyed.op";
+/// Number of failed runs after which a task is given up.
+pub const MAX_ATTEMPTS: usize = 2;
+/// CPU of a host in thousandths of a core.
+pub(super) const HOST_CPU: u64 = 8_000;
 /// Number of hosts in each rack.
 const HOSTS_PER_RACK: usize = 4;
 /// Largest number of tasks that a runner runs at once.
@@ -68,6 +77,8 @@
     pub(super) worker: Option<Worker>,
     /// Number of runner instances started so far.
     pub(super) instances: u64,
+    /// Time at which the runner leaves, if it is draining.
+    pub(super) leaves_at: Option<Duration>,
 }
 
 /// State of a cluster.
@@ -78,13 +89,21 @@
     pub(super) log: Log,
     pub(super) hosts: Hosts,
     pub(super) nodes: BTreeMap<String, Node>,
-    /// Ended runs of terminated runner instances.
-    pub(super) history: Vec<Execution>,
+    /// Ended runs of terminated runner instances, with the id of the instance.
+    pub(super) history: Vec<(String, Execution)>,
+    /// Ids of crashed runner instances, and when their records expire.
+    pub(super) expiring: Vec<(String, Duration)>,
+    /// Entries that have an address of their own for the log.
+    pub(super) views: Vec<View>,
+    /// Time after which the record of a silent runner expires.
+    expiry: Duration,
+    /// Address of the runners.
+    pub(super) address: IpAddr,
     pub(super) config_version: u64,
 }
 
 impl State {
-    pub(super) fn new(plan: Plan, addresses: Vec<SocketAddr>) -> Self {
+    pub(super) fn new(plan: Plan, network: &Network, addresses: Vec<SocketAddr>) -> Self {
         let mut hosts = Hosts {
             move_time: Duration::from_millis(300),
             maintenance_time: Duration::from_millis(400),
@@ -102,6 +121,7 @@
                 rack,
                 worker: None,
                 instances: 0,
+                leaves_at: None,
             };
             nodes.insert(name, node);
         }
@@ -112,6 +132,10 @@
             hosts,
             nodes,
             history: Vec::new(),
+            expiring: Vec::new(),
+            views: network.views.iter().copied().map(View::new).collect(),
+            expiry: network.registration * 3,
+            address: network.address,
             config_version: 0,
         };
         let names: Vec<String> = state.nodes.keys().cloned().collect();
@@ -144,6 +168,7 @@
         }
         if let Some(node) = self.nodes.get_mut(host) {
             node.instances += 1;
+            node.leaves_at = None;
             let id = format!("i-{host}-{}", node.instances);
             node.worker = Some(Worker::new(&id, unix_millis(), MAX_RUNS, 1_000, now));
         }
@@ -156,13 +181,48 @@
         let node = self.nodes.get_mut(host);
         if let Some(mut worker) = node.and_then(|node| node.worker.take()) {
             worker.terminate(now);
-            self.history.append(&mut worker.history);
+            let runs = worker.history.drain(..);
+            let runs = runs.map(|run| (worker.id.clone(), run));
+            self.history.extend(runs);
             let record = vec![(worker.id, Vec::new())];
             // An append without a producer and a condition is never rejected.
             let _ = self.log.append(RUNNER_TOPIC, None, None, record);
         }
     }
 
+    /// Ends the runner instance of a host without notice. Its record expires like that of a silent runner.
+    pub(super) fn crash_runner(&mut self, host: &str) {
+        let now = self.now();
+        let node = self.nodes.get_mut(host);
+        if let Some(mut worker) = node.and_then(|node| node.worker.take()) {
+            worker.terminate(now);
+            let runs = worker.history.drain(..);
+            let runs = runs.map(|run| (worker.id.clone(), run));
+            self.history.extend(runs);
+            self.expiring.push((worker.id, now + self.expiry));
+        }
+    }
+
+    /// Starts the runner of a host in operation that has none, with a new id or with the last one.
+    pub(super) fn restart_runner(&mut self, host: &str, same_id: bool) {
+        let Some(found) = self.hosts.hosts.get(host) else {
+            return;
+        };
+        let may_run = found.phase == Phase::Up && !self.is_standby(&found.pool);
+        let Some(node) = self.nodes.get_mut(host) else {
+            return;
+        };
+        if !may_run || node.worker.is_some() {
+            return;
+        }
+        if same_id {
+            node.instances -= 1;
+            let id = format!("i-{host}-{}", node.instances + 1);
+            self.expiring.retain(|(expiring, _)| *expiring != id);
+        }
+        self.start_runner(host);
+    }
+
     /// Writes the record of a runner about itself in the service list.
     pub(super) fn register(&mut self, host: &str) {
         let now = self.now();
@@ -178,7 +238,7 @@
             "zone": "zone",
             "version": "v1",
             "slots": 8,
-            "state": "ready",
+            "state": if node.leaves_at.is_some() { "draining" } else { "ready" },
             "coldRemainingMs": 0,
             "seq": 1,
             "born": worker.born,
@@ -186,6 +246,7 @@
             "labels": ["a", node.rack],
             "machine": host,
             "clockMs": worker.clock(now),
+            "drainRemainingMs": node.leaves_at.map_or(0, |at| at.saturating_sub(now).as_millis() as u64),
         });
         let record = vec![(worker.id.clone(), entry.to_string().into_bytes())];
         let _ = self.log.append(RUNNER_TOPIC, None, None, record);
@@ -197,8 +258,24 @@
         for host in self.hosts.advance(now) {
             self.start_runner(&host);
         }
+        let (expired, expiring) = core::mem::take(&mut self.expiring)
+            .into_iter()
+            .partition(|(_, at)| *at <= now);
+        self.expiring = expiring;
+        for (id, _) in expired {
+            let _ = self
+                .log
+                .append(RUNNER_TOPIC, None, None, vec![(id, Vec::new())]);
+        }
         let names: Vec<String> = self.nodes.keys().cloned().collect();
         for name in names {
+            if self.nodes[&name].leaves_at.is_some_and(|at| at <= now) {
+                self.nodes
+                    .get_mut(&name)
+                    .expect("the name is a key")
+                    .leaves_at = None;
+                self.terminate_runner(&name);
+            }
             self.register(&name);
         }
     }
@@ -216,7 +293,7 @@
                 "targetLatencyMs": 600,
                 "priority": queue.priority,
                 "service": queue.pool,
-                "maxAttempts": 2,
+                "maxAttempts": MAX_ATTEMPTS,
                 "stretch": 1.6,
             })
         };
@@ -263,7 +340,7 @@
 }
 
 fn capacity() -> serde_json::Value {
-    json!({ "cpu": 8_000, "memMb": 16_000, "gpu": 0 })
+    json!({ "cpu": HOST_CPU, "memMb": 16_000, "gpu": 0 })
 }
 
 fn unix_millis() -> u64 {
