fix(lead): don't begin the wait before a claim anew after a failed read

Seen in a test: a candidate whose read fails once while the leader is silent, as when the log closes its connections, claims 3.0 s after the last record of the leader in place of 1.55 s. A failure in each 1.2 s makes it 3.4 s. A job may stand for 3 s.

Cause: each failed read forgot since when reads had succeeded, although the next read continues after the last good one.

--- a/crates/lead/src/election/election.rs
+++ b/crates/lead/src/election/election.rs
@@ -100,8 +100,10 @@
     leader_since: Time,
     /// Since when the latest leader is behind the log, as far as it was observed.
     behind_since: Option<Time>,
-    /// Start of the first of the successful reads since the last failure or long pause.
+    /// Start of the first of the successful reads since the last long pause.
     reading_since: Option<Time>,
+    /// Whether the last read failed.
+    read_failed: bool,
     /// End of the last successful read.
     last_read: Time,
     /// Start of the last successful read.
@@ -129,6 +131,7 @@
             leader_since: now,
             behind_since: None,
             reading_since: None,
+            read_failed: false,
             last_read: Time::MIN,
             read_started: Time::MIN,
             confirmed_at: Time::MIN,
@@ -164,9 +167,12 @@
 
     /// Records the result of a read of the log that started at `started` and ended at `now`.
     pub fn record_read(&mut self, success: bool, started: Time, now: Time) {
-        if !success {
-            self.reading_since = None;
-        } else {
+        let failed_before = core::mem::replace(&mut self.read_failed, !success);
+        if success {
+            // A read continues after the last successful one, so a failure between two that follow soon misses nothing.
+            if failed_before && now.since(self.last_read) > self.timing.max_read_age {
+                self.reading_since = None;
+            }
             self.reading_since.get_or_insert(started);
             self.last_read = now;
             self.read_started = started;
@@ -257,6 +263,9 @@
             self.reading_since = None;
             return false;
         }
+        if self.read_failed {
+            return false;
+        }
         let max_delay = match self.behind_since {
             Some(_) => self.timing.max_takeover_read_delay,
             None => self.timing.max_read_delay,
--- a/crates/lead/tests/election.rs
+++ b/crates/lead/tests/election.rs
@@ -237,3 +237,37 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Guards against a takeover that takes longer than the 3 s for which a job may stand, because a read failed meanwhile: the
+/// log has closed its connections, and the next read succeeds.
+#[test]
+fn failed_read_does_not_delay_a_claim() {
+    let rank = Rank::Known {
+        delay: Duration::ZERO,
+        settle: Duration::ZERO,
+    };
+    let mut table = String::new();
+    for (name, fails_every, silent_at) in [
+        ("no failure", u128::MAX, 1_000),
+        ("a failure in 2.4 s", 2_400, 1_000),
+        ("a failure in 1.2 s", 1_200, 1_000),
+        ("a failure when the claim is due", 2_500, 1_000),
+    ] {
+        let mut election = Election::new(Timing::default(), 0, 1_000, START);
+        let mut now = START;
+        let claimed = loop {
+            let after = now.since(START).as_millis();
+            let succeeds = after == 0 || !after.is_multiple_of(fails_every);
+            election.record_read(succeeds, now, now);
+            if after <= silent_at {
+                election.observe(record(1 << 16, 1_000), now);
+            }
+            if let Claim::Append(_) = election.claim(rank, now) {
+                break after - silent_at;
+            }
+            now = now + READ_INTERVAL;
+        };
+        writeln!(table, "{name}: claims after {claimed} ms").unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
