fix(lead): replace a dead leader while reads of the log are slow

Callers' jobs would have stood until the log was fast again: since an entry does not claim while its reads take longer than 2 s, or 1 s if the leader is behind the log. That holds for a leader that is dead as well, so nobody renewed leases.

The bounds now hold only while the leader may be alive: for the time of an election and a lease, and as long as the last read took. The test of a leader that lives on while reads take 3 s passes unchanged.

Evidence: dead_leader_is_replaced_while_reads_are_slow.

--- a/crates/lead/src/election/election.rs
+++ b/crates/lead/src/election/election.rs
@@ -270,7 +270,7 @@
             Some(_) => self.timing.max_takeover_read_delay,
             None => self.timing.max_read_delay,
         };
-        if now.since(self.read_started) > max_delay {
+        if now.since(self.read_started) > max_delay && !self.is_leader_silent(now) {
             return false;
         }
         // A leader that is behind goes on appending, so the wait does not begin anew with each of its records.
@@ -279,6 +279,14 @@
         now >= start + self.claim_delay(rank, after_outage) || self.replaces_leader(since, now)
     }
 
+    /// Tells whether the leader has appended nothing for so long that its lease has ended, even if a record takes as long as
+    /// the last read to arrive. Then a leader whose reads are slow is better than none, which renews no leases.
+    fn is_leader_silent(&self, now: Time) -> bool {
+        let read_time = self.last_read.since(self.read_started);
+        let longest = self.timing.election_timeout + self.timing.lease + read_time;
+        now.since(self.observed_at) > longest
+    }
+
     /// Begins to lead: this entry has read its claim, whose append started at `started`. The answer to the append does
     /// not confirm the claim, since the log gives the same answer if another entry has claimed with the same epoch.
     pub fn claim_confirmed(&mut self, epoch: u64, started: Time) {
--- a/crates/lead/tests/election.rs
+++ b/crates/lead/tests/election.rs
@@ -46,6 +46,56 @@
     None
 }
 
+/// Returns the milliseconds from the death of a leader to the claim of an entry whose reads take `read`; 0 if the claim
+/// comes before. `behind` tells whether the last records of the leader say that it is behind the log.
+fn claim_after_death(behind: bool, read: Duration) -> Option<u128> {
+    let death = START + Duration::from_secs(5);
+    let mut election = Election::new(Timing::default(), 0, 250, START);
+    let (mut now, mut started) = (START, START);
+    while now < death + Duration::from_secs(35) {
+        let length = if now < START + Duration::from_secs(2) {
+            READ_INTERVAL
+        } else {
+            read
+        };
+        if now >= started + length {
+            election.record_read(true, started, now);
+            started = now;
+            if now < death {
+                let leader = Observation {
+                    behind: behind && now >= START + Duration::from_secs(4),
+                    ..record(1 << 16, 250)
+                };
+                election.observe(leader, now);
+            }
+        }
+        if let Claim::Append(_) = election.claim(Rank::Unknown, now) {
+            assert!(behind || now >= death, "the leader was alive");
+            return Some(now.since(death).as_millis());
+        }
+        now = now + Duration::from_millis(10);
+    }
+    None
+}
+
+/// Guards against a dead leader that nobody replaces, and whose runs all lapse, because reads of the log are slow.
+#[test]
+fn dead_leader_is_replaced_while_reads_are_slow() {
+    let mut table = String::new();
+    for millis in [600, 1_500, 2_100, 3_000] {
+        for behind in [false, true] {
+            let claim = claim_after_death(behind, Duration::from_millis(millis));
+            assert!(claim.is_some(), "reads take {millis} ms, behind {behind}");
+            writeln!(
+                table,
+                "reads take {millis} ms, behind {behind}: claims after {claim:?} ms"
+            )
+            .expect("text can be written");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
 /// Guards against a leader that keeps the role although it lacks processor capacity, against entries of the same size
 /// that take the role from each other, and against a small entry that leads first although larger ones exist.
 #[test]
