fix(job): let entries of the version before read that a leader is behind

A record of a leader that is behind the log had one field more than its readers of the version before know. They would skip it and take the leader, which goes on renewing leases, for dead. The highest bit of the capacity stands for it now; older readers see a large leader that appends. Found by the review, which showed the error of the decoder. The test format has the record.

--- a/crates/job/src/record/leader.rs
+++ b/crates/job/src/record/leader.rs
@@ -19,16 +19,14 @@
     resigned: bool,
     /// Microseconds since the Unix epoch.
     runs_until: u64,
+    /// Thousandths of a core, with the bit [`BEHIND`].
     #[serde(default)]
     capacity: u32,
-    /// Left out if it is false, so that entries of versions without it can read the records of a leader that keeps up.
-    #[serde(default, skip_serializing_if = "is_false")]
-    behind: bool,
 }
 
-fn is_false(value: &bool) -> bool {
-    !value
-}
+/// Bit of the capacity that says that the leader is behind the log. Entries of versions without it read a large capacity, so
+/// they still see that the leader appends, and do not replace it for its size.
+const BEHIND: u32 = 1 << 31;
 
 #[derive(serde::Deserialize, serde::Serialize)]
 pub(super) struct WireWave {
@@ -69,8 +67,10 @@
             born: leader.incarnation,
             resigned: leader.resigned,
             runs_until: leader.runs_until.as_micros(),
-            capacity: leader.capacity,
-            behind: leader.behind,
+            capacity: match leader.behind {
+                true => leader.capacity | BEHIND,
+                false => leader.capacity & !BEHIND,
+            },
         }
     }
 }
@@ -83,8 +83,8 @@
             incarnation: wire.born,
             resigned: wire.resigned,
             runs_until: Time::from_micros(wire.runs_until),
-            capacity: wire.capacity,
-            behind: wire.behind,
+            capacity: wire.capacity & !BEHIND,
+            behind: wire.capacity & BEHIND != 0,
         }
     }
 }
--- a/crates/job/tests/format.rs
+++ b/crates/job/tests/format.rs
@@ -102,6 +102,15 @@
         1_700_000_000_u64,
         4_000_u32,
     );
+    // The highest bit of the capacity stands for it, so that entries of versions before can read the record.
+    let behind = (
+        9_u64,
+        "entry-1",
+        1_700_u64,
+        false,
+        1_700_000_000_u64,
+        4_000_u32 | 1 << 31,
+    );
     let batch = (
         "batch",
         1_500.5_f64,
@@ -120,6 +129,7 @@
         ("job of a silent runner", silent()),
         ("job of a settled run", settled()),
         ("leader", stored("leader", &leader)),
+        ("leader behind the log", stored("leader", &behind)),
         (
             "wave with a host",
             stored("w12/host-1", &(9_u64, ["host-1"], false)),
