fix(schedule): keep the crashes of a task whose runner begins to drain

A task that crashes its runners could start again and again: since a run on a runner that drains counted as one that has worked for long enough, so the crashes of its task were forgotten. Being no cause of the end of a runner is now apart from having outlived the trial; only the latter clears a task.

Evidence: draining_runner_does_not_clear_the_crashes_of_its_tasks failed before (0 crashes in place of 2).

--- a/crates/schedule/src/engine/crash.rs
+++ b/crates/schedule/src/engine/crash.rs
@@ -89,7 +89,8 @@
         };
         let runs = runner.runs.iter().map(|&run| &self.runs[run]);
         let recent = runs
-            .filter(|run| run.stage != Stage::Planned && !loss::has_outlived_trial(run, runner));
+            .filter(|run| run.stage != Stage::Planned && !run.settled)
+            .filter(|run| !loss::has_outlived_trial(run, runner));
         let mut suspects: Vec<TaskKey> = recent.map(|run| run.task).collect();
         let silent = self.suspicions.iter().filter(|(_, suspicion)| {
             suspicion.incarnation == runner.incarnation && suspicion.runner == runner.id
--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -90,9 +90,10 @@
     run.started.or(run.adopted)
 }
 
-/// Tells whether the runner has answered so long after the start of a run that the run has not crashed it.
+/// Tells whether the runner has answered so long after the start of a run that the run has not crashed it. A run that is
+/// settled may have worked for less, on a runner that was about to leave.
 pub(super) fn has_outlived_trial(run: &Run, runner: &Runner) -> bool {
-    run.settled || age(run, runner) >= CRASH_WINDOW
+    age(run, runner) >= CRASH_WINDOW
 }
 
 /// Returns the time from the start of a run for which its runner is known to have worked.
@@ -118,7 +119,8 @@
 /// Returns the time until the runner of a run on trial has to be asked whether it still works; `None` for other runs. A
 /// poll that is held open for longer would leave a later crash to the task.
 pub(super) fn trial_time_left(run: &Run, runner: &Runner, now: Time) -> Option<Duration> {
-    let begun = begun_at(run).filter(|_| run.crashes > 0 && !has_outlived_trial(run, runner))?;
+    let on_trial = run.crashes > 0 && !run.settled && !has_outlived_trial(run, runner);
+    let begun = begun_at(run).filter(|_| on_trial)?;
     Some((begun + CRASH_WINDOW).since(now))
 }
 
--- a/crates/schedule/tests/engine/restore.rs
+++ b/crates/schedule/tests/engine/restore.rs
@@ -116,3 +116,33 @@
     );
     assert_eq!(harness.running_count(), 1, "{}", harness.timeline());
 }
+
+/// Waits for the next start of the only task, and returns the runner.
+fn next_start(harness: &mut Harness) -> String {
+    for _ in 0..500 {
+        let mut ids = harness.runners.keys();
+        if let Some(id) = ids.find(|id| !harness.running(id).is_empty()) {
+            return id.clone();
+        }
+        harness.run_ms(20);
+    }
+    panic!("the task has not started again: {}", harness.timeline());
+}
+
+/// Guards against a task whose crashes are forgotten because one of its runners begins to drain.
+#[test]
+fn draining_runner_does_not_clear_the_crashes_of_its_tasks() {
+    let mut harness = Harness::new(6, 1);
+    harness.task_duration = |_| None;
+    harness.submit(1, vec![step(1)]);
+    for _ in 0..2 {
+        let id = next_start(&mut harness);
+        harness.run_ms(60);
+        harness.restart_runner(&id);
+        harness.run_ms(60);
+    }
+    let id = next_start(&mut harness);
+    harness.drain(&id);
+    harness.run_ms(200);
+    assert_eq!(crashes(&harness), 2, "{}", harness.timeline());
+}
