--- a/crates/schedule/src/engine/crash.rs
+++ b/crates/schedule/src/engine/crash.rs
@@ -116,7 +116,7 @@
     }
 
     /// Handles that a task has run without a crash, so that something else has caused those of its runners.
-    pub(super) fn acquit(&mut self, task: TaskKey) {
+    pub(super) fn clear_cause(&mut self, task: TaskKey) {
         for crash in &mut self.crashes {
             crash.suspects.retain(|&suspect| suspect != task);
         }
@@ -124,7 +124,7 @@
 
     /// Ends the job of a task that has crashed too many runners.
     pub(super) fn give_up_crashing(&mut self, task: TaskKey, now: Time) {
-        let finding = self.judge(task, now);
+        let finding = self.assess(task, now);
         if finding == Finding::Few {
             return;
         }
@@ -141,7 +141,7 @@
     /// Ends the job of a task of a former leader if it may not start again. Whether other runners crashed in the time of
     /// that leader is not known, so nothing else can be concluded.
     pub(super) fn restore_finding(&mut self, task: TaskKey, now: Time) {
-        if self.judge(task, now) == Finding::Limit {
+        if self.assess(task, now) == Finding::Limit {
             self.give_up_crashing(task, now);
         }
     }
@@ -152,7 +152,7 @@
         }
     }
 
-    /// Judges the tasks whose pauses have ended and for which that was left open.
+    /// Assesses the tasks whose pauses have ended and for which that was left open.
     pub(super) fn close_findings(&mut self, now: Time) {
         let paused = |task: &mut TaskKey| {
             let active = self.jobs.get(task.job_key);
@@ -167,7 +167,7 @@
 
     /// Tells what the crashes of a task's runners show. Runners that are only silent do not count, and long-running tasks
     /// are restarted however they end.
-    fn judge(&self, task: TaskKey, now: Time) -> Finding {
+    fn assess(&self, task: TaskKey, now: Time) -> Finding {
         let Some(active) = self.jobs.get(task.job_key) else {
             return Finding::Few;
         };
@@ -210,8 +210,8 @@
         let state = active.task(task.occurrence, task.step, task.index);
         let attempt = state.map_or(0, |state| state.attempt);
         let task_id = super::run::task_id(job, task);
-        let judged = Note::new(Kind::CrashJudged, finding.as_str(), now);
-        let mut notes = vec![judged.with_task(task_id, attempt)];
+        let assessed = Note::new(Kind::CrashAssessed, finding.as_str(), now);
+        let mut notes = vec![assessed.with_task(task_id, attempt)];
         let own = self.crashes.iter();
         for crash in own.filter(|crash| crash.suspects.contains(&task)) {
             let reason = if crash.alone { "alone" } else { "shared" };
@@ -229,7 +229,7 @@
 impl Crash {
     /// Returns a note on the crash as evidence.
     fn note(&self, reason: &'static str, now: Time) -> Note {
-        let note = Note::new(Kind::CrashWeighed, reason, now);
+        let note = Note::new(Kind::CrashEvidence, reason, now);
         note.with_place(&self.runner).with_age(now.since(self.at))
     }
 }
--- a/crates/schedule/src/engine/suspicion.rs
+++ b/crates/schedule/src/engine/suspicion.rs
@@ -98,7 +98,7 @@
 
     /// Clears a task of all crashes, known and suspected ones.
     pub(super) fn clear_crashes(&mut self, task: TaskKey) {
-        self.acquit(task);
+        self.clear_cause(task);
         let state = self.task_mut(task);
         if let Some(state) = state.filter(|state| state.crashes > 0) {
             state.crashes = 0;
--- a/crates/schedule/src/note/note.rs
+++ b/crates/schedule/src/note/note.rs
@@ -50,9 +50,9 @@
     /// A runner that stopped answering soon after the start of a task has not crashed, or the leader has ended it.
     CrashRefuted = "crash-refuted";
     /// It was decided whether a task crashes its runners.
-    CrashJudged = "crash-judged";
+    CrashAssessed = "crash-assessed";
     /// A crash of a runner was part of the evidence for such a decision.
-    CrashWeighed = "crash-weighed";
+    CrashEvidence = "crash-evidence";
     /// A run that a former leader started is alive.
     Adopted = "run-adopted";
     /// A runner reports a run that the engine does not know; it is stopped.
