--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -208,10 +208,7 @@
                 // The task may run although this copy of the order has failed.
                 let result = result.map_err(|error| match delivery {
                     Delivery::First => error,
-                    Delivery::Repeat => CallError {
-                        failure: error.failure.of_repeat(),
-                        ..error
-                    },
+                    Delivery::Repeat => error.of_repeat(),
                 });
                 Report::Start {
                     run: start.run,
--- a/crates/control/src/port/runners.rs
+++ b/crates/control/src/port/runners.rs
@@ -28,6 +28,16 @@
     pub fault: Option<Fault>,
 }
 
+impl CallError {
+    /// Returns the error of an order of which an earlier copy may have been carried out.
+    pub fn of_repeat(self) -> Self {
+        Self {
+            failure: self.failure.of_repeat(),
+            ..self
+        }
+    }
+}
+
 impl From<Failure> for CallError {
     fn from(failure: Failure) -> Self {
         Self {
--- a/crates/schedule/src/engine/crash.rs
+++ b/crates/schedule/src/engine/crash.rs
@@ -5,7 +5,8 @@
 
 use super::{
     Engine,
-    loss, //
+    loss,
+    suspicion, //
 };
 use crate::{
     job::{
@@ -93,9 +94,8 @@
             .filter(|run| run.stage != Stage::Planned && !run.settled)
             .filter(|run| !loss::has_outlived_trial(run, runner));
         let mut suspects: Vec<TaskKey> = recent.map(|run| run.task).collect();
-        let silent = self.suspicions.iter().filter(|(_, suspicion)| {
-            suspicion.incarnation == runner.incarnation && suspicion.runner == runner.id
-        });
+        let silent = self.suspicions.iter();
+        let silent = silent.filter(|(_, suspicion)| suspicion::is_against(suspicion, runner));
         suspects.extend(silent.map(|(task, _)| *task));
         let planned = self.was_ordered_away(&runner.host, now);
         if suspects.is_empty() && (!runner.fenced || planned) {
--- a/crates/schedule/src/engine/suspicion.rs
+++ b/crates/schedule/src/engine/suspicion.rs
@@ -161,9 +161,7 @@
         now: Time,
     ) {
         let runner = &self.runners[key];
-        let same = |(_, suspicion): &mut (_, Suspicion)| {
-            suspicion.incarnation == runner.incarnation && suspicion.runner == runner.id
-        };
+        let same = |(_, suspicion): &mut _| is_against(suspicion, runner);
         let resolved = self.suspicions.extract_if(.., same).collect();
         self.resolve_suspicions(resolved, verdict, reason, now);
     }
@@ -201,6 +199,11 @@
     }
 }
 
+/// Tells whether a suspicion is about an incarnation of a runner.
+pub(super) fn is_against(suspicion: &Suspicion, runner: &Runner) -> bool {
+    suspicion.incarnation == runner.incarnation && suspicion.runner == runner.id
+}
+
 /// Tells whether a runner shows that the suspected one has ended: it is a later one of the same name or on the same host.
 fn is_followed_by(suspicion: &Suspicion, runner: &Runner) -> bool {
     let same_host = !suspicion.host.is_empty() && runner.host == suspicion.host;
--- a/crates/standin/src/cluster/state.rs
+++ b/crates/standin/src/cluster/state.rs
@@ -177,14 +177,8 @@
 
     /// Terminates the runner instance of a host and everything that it runs.
     pub(super) fn terminate_runner(&mut self, host: &str) {
-        let now = self.now();
-        let node = self.nodes.get_mut(host);
-        if let Some(mut worker) = node.and_then(|node| node.worker.take()) {
-            worker.terminate(now);
-            let runs = worker.history.drain(..);
-            let runs = runs.map(|run| (worker.id.clone(), run));
-            self.history.extend(runs);
-            let record = vec![(worker.id, Vec::new())];
+        if let Some(id) = self.end_worker(host) {
+            let record = vec![(id, Vec::new())];
             // An append without a producer and a condition is never rejected.
             let _ = self.log.append(RUNNER_TOPIC, None, None, record);
         }
@@ -192,17 +186,22 @@
 
     /// Ends the runner instance of a host without notice. Its record expires like that of a silent runner.
     pub(super) fn crash_runner(&mut self, host: &str) {
-        let now = self.now();
-        let node = self.nodes.get_mut(host);
-        if let Some(mut worker) = node.and_then(|node| node.worker.take()) {
-            worker.terminate(now);
-            let runs = worker.history.drain(..);
-            let runs = runs.map(|run| (worker.id.clone(), run));
-            self.history.extend(runs);
-            self.expiring.push((worker.id, now + self.expiry));
+        if let Some(id) = self.end_worker(host) {
+            self.expiring.push((id, self.now() + self.expiry));
         }
     }
 
+    /// Ends the runner instance of a host and everything that it runs. Returns its name, if there was one.
+    fn end_worker(&mut self, host: &str) -> Option<String> {
+        let now = self.now();
+        let mut worker = self.nodes.get_mut(host)?.worker.take()?;
+        worker.terminate(now);
+        let runs = worker.history.drain(..);
+        let runs = runs.map(|run| (worker.id.clone(), run));
+        self.history.extend(runs);
+        Some(worker.id)
+    }
+
     /// Starts the runner of a host in operation that has none, with a new id or with the last one.
     pub(super) fn restart_runner(&mut self, host: &str, same_id: bool) {
         let Some(found) = self.hosts.hosts.get(host) else {
