--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -5,6 +5,7 @@
         "growing-record" => growing_record(site, entries, trouble),
         "flapping-runner" => flapping_runner(site, entries, trouble),
         "odd-entry" => odd_entry(site, entries, trouble),
+        "crash-loop" => crash_loop(site, entries, trouble),
         "late-start" => late_start(site, entries, trouble),
         _ => cannot_run("no such scenario"),
     }
@@ -228,3 +229,53 @@
     site.note(&format!("the job is {last}; two runs at the same time in {together} looks, 10 ms apart"));
     together > 0
 }
+
+/// One job that lasts, and whose runs all end failed, beside ordinary jobs.
+fn crash_loop(site: &Arc<Site>, entries: &Entries, trouble: bool) -> bool {
+    let ordinary = |number: u64| {
+        let id = format!("{:016x}", 0x3000_0000_0000_0000_u64 + number);
+        let body = "{\"spec\":\"ms=400 cpu=3500\",\"phases\":[{\"count\":6,\"cpu\":3500,\"memMb\":64,\"estimateMs\":400}]}";
+        submit(site, entries, "quoting", &id, body).then_some(id)
+    };
+    let mut accepted = Vec::new();
+    for number in 0..20 {
+        accepted.extend(ordinary(number));
+        thread::sleep(Duration::from_millis(100));
+    }
+    let fails = if trouble { "fails ms=300" } else { "lasting" };
+    let body = format!("{{\"spec\":\"{fails} cpu=1800\",\"phases\":[{{\"count\":8,\"cpu\":1800,\"memMb\":64,\"estimateMs\":500,\"longRunning\":true,\"maxPerServer\":1}}]}}");
+    if !submit(site, entries, "quoting", "5c0e7a21d94b3604", &body) {
+        cannot_run("the lasting job was not accepted");
+    }
+    thread::sleep(Duration::from_secs(32));
+    for number in 20..30 {
+        accepted.extend(ordinary(number));
+        thread::sleep(Duration::from_millis(300));
+    }
+    // The check covers the last 3 s of `finish_s`.
+    site.note("the traffic has ended");
+    thread::sleep(Duration::from_secs(11));
+    let mut idle: HashMap<String, bool> = accepted.iter().map(|id| (id.clone(), true)).collect();
+    let mut most_used = 0;
+    let watched = Instant::now();
+    while watched.elapsed() < Duration::from_millis(3_100) {
+        for id in &accepted {
+            if site.is_running(id) {
+                idle.insert(id.clone(), false);
+            }
+        }
+        most_used = most_used.max(site.used_percent("quoting"));
+        thread::sleep(Duration::from_millis(50));
+    }
+    let mut lost = 0;
+    for id in &accepted {
+        let state = state(site, entries, "quoting", id);
+        if state != "done" && idle[id] && most_used < 50 {
+            lost += 1;
+            let begun = lock(&site.begun).get(id).copied();
+            site.note(&format!("job {id} is {state}, begun {begun:?}; nothing of it ran for 3 s, {most_used}% of the service were in use"));
+        }
+    }
+    site.note(&format!("{lost} of {} accepted jobs are stuck", accepted.len()));
+    lost > 0
+}
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -637,7 +637,8 @@
 const CPU: u64 = 64_000;
 const MEMORY: u64 = 128_000;
 
-/// Work of a task: `ms=N` in the specification, `lasts`, and `cpu=N` for the runner's own books.
+/// Work of a task: `ms=N` in the specification, without which it lasts; `cpu=N` for the runner's own books. With `fails`
+/// its runs end failed.
 fn work_of(spec: &str) -> (Option<Duration>, u64) {
     let field = |name: &str| {
         spec.split_whitespace().find_map(|word| word.strip_prefix(name)?.parse::<u64>().ok())
@@ -670,7 +671,10 @@
         while index < life.runs.len() {
             let run = &life.runs[index];
             let how = match run {
-                run if run.work.is_some_and(|w| run.began.elapsed() >= w) => "done",
+                run if run.work.is_some_and(|w| run.began.elapsed() >= w) => match run.spec.contains("fails") {
+                    true => "failed",
+                    false => "done",
+                },
                 run if run.stop_at.is_some_and(|at| Instant::now() >= at) => "stopped",
                 _ if lapsed => "lapsed",
                 _ => {
