--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -82,6 +82,35 @@
         let body = "{\"spec\":\"ms=400 cpu=3500\",\"phases\":[{\"count\":6,\"cpu\":3500,\"memMb\":64,\"estimateMs\":400}]}";
         submit(site, entries, "quoting", &id, body).then_some(id)
     };
+    let running = |prefix: &str| -> usize {
+        let count = |machine: &Arc<Machine>| {
+            let mut guard = lock(&machine.life);
+            let Some(life) = guard.as_mut() else { return 0 };
+            site.advance(machine, life);
+            life.runs.iter().filter(|run| run.task.starts_with(prefix)).count()
+        };
+        site.machines.iter().map(count).sum()
+    };
+    let wait_for = |prefix: &str, count: usize| {
+        let from = Instant::now();
+        while running(prefix) < count {
+            if from.elapsed() > Duration::from_secs(20) {
+                cannot_run("the work before the disruption does not start");
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    };
+    // Each machine of the service has a task that lasts, and another service needs all spare machines.
+    let sound = "{\"spec\":\"lasting cpu=1800\",\"phases\":[{\"count\":10,\"cpu\":1800,\"memMb\":64,\"estimateMs\":500,\"longRunning\":true,\"maxPerServer\":1}]}";
+    let large = "{\"spec\":\"ms=110000 cpu=60000\",\"phases\":[{\"count\":14,\"cpu\":60000,\"memMb\":64,\"estimateMs\":110000}]}";
+    if !submit(site, entries, "quoting", "5c0e7a21d94b3607", sound) {
+        cannot_run("a job was not accepted");
+    }
+    wait_for("5c0e7a21d94b3607", 10);
+    if !submit(site, entries, "designer", "5c0e7a21d94b3608", large) {
+        cannot_run("a job was not accepted");
+    }
+    wait_for("5c0e7a21d94b3608", 9);
     let mut accepted = Vec::new();
     for number in 0..20 {
         accepted.extend(ordinary(number));
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -606,7 +606,8 @@
 
 struct Machine {
     name: String,
-    pool: String,
+    pool: Mutex<String>,
+    moving: Mutex<bool>,
     rack: String,
     kind: String,
     zone: String,
@@ -843,7 +844,7 @@
         let Some(life) = guard.as_ref() else { return };
         let value = format!(
             "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{},\"born\":{},\"capacity\":{{\"cpu\":{CPU},\"memMb\":{MEMORY},\"gpu\":0}},\"labels\":[\"{}\",\"{}\"],\"machine\":\"{}\",\"clockMs\":{}}}",
-            machine.pool, machine.addr, machine.zone, life.clock() / 1_500, life.born, machine.kind, machine.rack, machine.name, life.clock()
+            lock(&machine.pool), machine.addr, machine.zone, life.clock() / 1_500, life.born, machine.kind, machine.rack, machine.name, life.clock()
         );
         let id = life.id.clone();
         drop(guard);
@@ -895,6 +896,37 @@
         life.id
     }
 
+    /// Moves a machine to another pool, which ends its runner.
+    fn relocate(self: &Arc<Self>, request: &Request) -> Answer {
+        let body = Json::parse(&request.body).unwrap_or(Json::Null);
+        let name = body.text("machine").unwrap_or_default();
+        let pool = body.text("pool").unwrap_or_default().to_owned();
+        let Some(machine) = self.machines.iter().find(|m| m.name == name) else {
+            return json_answer(400, "{}".into());
+        };
+        if *lock(&machine.pool) == pool {
+            return json_answer(200, "{}".into());
+        }
+        if std::mem::replace(&mut *lock(&machine.moving), true) {
+            return json_answer(409, "{\"reason\":\"busy\"}".into());
+        }
+        self.note(&format!("machine {name} moves to {pool}"));
+        let old = self.crash(machine, true);
+        if !old.is_empty() {
+            self.store.publish("keyed.servers", &old, "");
+        }
+        *lock(&machine.pool) = pool.clone();
+        let (site, machine) = (Arc::clone(self), Arc::clone(machine));
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(1_500));
+            *lock(&machine.moving) = false;
+            if pool != "backoffice" {
+                site.boot(&machine, None);
+            }
+        });
+        json_answer(200, "{}".into())
+    }
+
     fn machines_list(&self) -> String {
         let rows: Vec<String> = self
             .machines
@@ -902,10 +934,10 @@
             .map(|m| {
                 let life = lock(&m.life);
                 let id = life.as_ref().map_or("", |l| l.id.as_str());
-                let state = if life.is_some() { "up" } else { "down" };
+                let state = if *lock(&m.moving) { "moving" } else { "up" };
                 format!(
                     "{{\"machine\":\"{}\",\"pool\":\"{}\",\"state\":\"{state}\",\"zone\":\"{}\",\"labels\":[\"{}\",\"{}\"],\"capacity\":{{\"cpu\":{CPU},\"memMb\":{MEMORY},\"gpu\":0}},\"id\":\"{id}\"}}",
-                    m.name, m.pool, m.zone, m.kind, m.rack
+                    m.name, lock(&m.pool), m.zone, m.kind, m.rack
                 )
             })
             .collect();
@@ -915,7 +947,7 @@
     /// Share of a pool's processors that is in use, in percent, by the specifications of what runs.
     fn used_percent(&self, pool: &str) -> u64 {
         let (mut used, mut all) = (0, 0);
-        for machine in self.machines.iter().filter(|m| m.pool == pool) {
+        for machine in self.machines.iter().filter(|m| *lock(&m.pool) == pool) {
             let mut guard = lock(&machine.life);
             let Some(life) = guard.as_mut() else { continue };
             self.advance(machine, life);
@@ -968,13 +1000,14 @@
 }
 
 /// Pools and queues: each queue has the name of its pool, and is reached at `Host: jobs.example`, path `/POOL/`.
-const POOLS: [(&str, usize); 3] = [("quoting", 10), ("designer", 5), ("backoffice", 2)];
+const POOLS: [(&str, usize); 3] = [("quoting", 10), ("designer", 5), ("backoffice", 6)];
 const ZONES: [&str; 3] = ["suva", "lautoka", "nadi"];
 const HOST: &str = "jobs.example";
 /// Failed runs after which a task is given up; the sites have 2 to 4.
 const MAX_ATTEMPTS: u16 = 4;
 
-fn build_site(record: File) -> (Arc<Site>, String) {
+/// With `spare`, the machines of backoffice are off until they are moved to another service.
+fn build_site(spare: bool, record: File) -> (Arc<Site>, String) {
     let mut machines = Vec::new();
     let mut listeners = Vec::new();
     let mut index = 0;
@@ -984,7 +1017,8 @@
             let addr = listener.local_addr().map(|a| a.to_string()).unwrap_or_default();
             machines.push(Arc::new(Machine {
                 name: format!("{pool}-{number}"),
-                pool: pool.to_owned(),
+                pool: Mutex::new(pool.to_owned()),
+                moving: Mutex::new(false),
                 rack: format!("r{}", index / 4),
                 kind: if index == 0 { "k64b" } else { "k64a" }.to_owned(),
                 zone: ZONES[index % 3].to_owned(),
@@ -1017,7 +1051,7 @@
         })
         .collect();
     let services: Vec<String> =
-        POOLS.iter().map(|(pool, _)| format!("{{\"name\":\"{pool}\",\"admissionCheck\":false}}")).collect();
+        POOLS.iter().map(|(pool, _)| format!("{{\"name\":\"{pool}\",\"admissionCheck\":false,\"standby\":{}}}", spare && *pool == "backoffice")).collect();
     let config = format!(
         "{{\"version\":7,\"routes\":[{}],\"services\":[{}],\"limits\":{{}}}}",
         routes.join(","),
@@ -1026,7 +1060,9 @@
     site.store.publish("keyed.op", "config", &config);
     for (machine, listener) in site.machines.iter().zip(listeners) {
         let (of_site, of_machine) = (Arc::clone(&site), Arc::clone(machine));
-        site.boot(machine, None);
+        if !spare || *lock(&machine.pool) != "backoffice" {
+            site.boot(machine, None);
+        }
         serve_runner(
             Arc::clone(machine),
             listener,
@@ -1064,6 +1100,9 @@
             if request.path == "/machines" {
                 return Some(json_answer(200, serving.machines_list()));
             }
+            if request.path == "/machine-move" {
+                return Some(serving.relocate(&request));
+            }
             if request.path.starts_with("/machine-") {
                 return Some(json_answer(409, "{\"reason\":\"busy\"}".into()));
             }
@@ -1160,7 +1199,7 @@
     }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let file = File::create(&arguments[3]).unwrap_or_else(|e| cannot_run(&format!("no record: {e}")));
-    let (site, platform) = build_site(file);
+    let (site, platform) = build_site(arguments[1] == "crash-loop", file);
     let log = std::env::var("REVIEW_LOG").ok();
     thread::spawn(|| {
         thread::sleep(Duration::from_secs(117));
