--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -9,6 +9,7 @@
     fs::File,
     io::{BufRead, BufReader, Read, Write},
     net::{TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     process::{Child, Command, Stdio, exit},
     sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
@@ -1112,6 +1113,13 @@
     (site, platform)
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+/// Ends an entry process with this one, also if this one is killed.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 fn start_entries(program: &str, platform: &str, log: Option<&str>) -> Entries {
     let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap_or_else(|e| cannot_run(&format!("no folder: {e}")));
@@ -1129,7 +1137,15 @@
         std::fs::write(&file, text).unwrap_or_else(|e| cannot_run(&format!("no settings: {e}")));
         let output = log.and_then(|log| File::create(format!("{log}-{number}.log")).ok());
         let output = output.map_or_else(Stdio::null, Stdio::from);
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        // SAFETY: `prctl` is safe to call between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .arg("--jobs")
             .env("SASSAFRASCRANK_NODE_FILE", &file)
             .stdout(output)
