--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -9,7 +9,6 @@
     fs::File,
     io::{BufRead, BufReader, Read, Write},
     net::{TcpListener, TcpStream},
-    os::unix::process::CommandExt,
     process::{Child, Command, Stdio, exit},
     sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
@@ -1113,13 +1112,6 @@
     (site, platform)
 }
 
-unsafe extern "C" {
-    fn prctl(option: i32, ...) -> i32;
-}
-/// Ends an entry process with this one, also if this one is killed.
-const PR_SET_PDEATHSIG: i32 = 1;
-const SIGKILL: u64 = 9;
-
 fn start_entries(program: &str, platform: &str, log: Option<&str>) -> Entries {
     let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap_or_else(|e| cannot_run(&format!("no folder: {e}")));
@@ -1137,21 +1129,19 @@
         std::fs::write(&file, text).unwrap_or_else(|e| cannot_run(&format!("no settings: {e}")));
         let output = log.and_then(|log| File::create(format!("{log}-{number}.log")).ok());
         let output = output.map_or_else(Stdio::null, Stdio::from);
-        let mut command = Command::new(program);
-        // SAFETY: `prctl` is safe to call between fork and exec.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL);
-                Ok(())
-            });
-        }
-        let child = command
+        let child = Command::new(program)
             .arg("--jobs")
             .env("SASSAFRASCRANK_NODE_FILE", &file)
             .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("{program}: {e}")));
+        // For the script, which ends the entries if this program is killed.
+        if let Some(path) = std::env::var_os("REVIEW_PIDS")
+            && let Ok(mut pids) = std::fs::OpenOptions::new().append(true).open(path)
+        {
+            let _ = writeln!(pids, "{}", child.id());
+        }
         lock(&STARTED).0.push(child);
         entries.fronts.push(format!("127.0.0.1:{}", ports[0]));
     }
