fix(schedule): open the due occurrences of a job in parts

Cause: all due occurrences were opened in one turn of the control thread, and each was searched for from the beginning of the list, so one turn took many seconds and grew with the square of their number. The other entries missed records of the leader, and each new leader hung in the same way.

Change: the tasks of a job's open occurrences are limited to 2,000, the limit for one occurrence; the rest is opened in later turns as earlier ones end. An open occurrence is found by its position. A repeated job with long-running tasks, whose occurrences never end, is refused if they exceed the limit.

The test due_occurrences_are_opened_in_parts failed before: 5,000 tasks waited after the submission in place of 2,000, and 4,200 after a change of the leader.

--- a/crates/job/src/model/check.rs
+++ b/crates/job/src/model/check.rs
@@ -9,8 +9,8 @@
 const SPECIFICATION_LIMIT_BYTES: usize = 4_000;
 /// Largest number of steps of a job.
 const STEP_LIMIT: usize = 100;
-/// Largest number of tasks in one occurrence. Their progress has to fit into one log record.
-const TASK_LIMIT: usize = 2_000;
+/// Largest number of tasks in the open occurrences of a job. Their progress has to fit into one log record.
+pub(super) const TASK_LIMIT: usize = 2_000;
 /// Largest number of occurrences of a job.
 const OCCURRENCE_LIMIT: u32 = 100_000;
 
@@ -47,6 +47,16 @@
     /// The job has too many occurrences.
     #[error("the job is repeated {0} times: repeat it at most {OCCURRENCE_LIMIT} times")]
     Occurrences(u32),
+    /// The occurrences of a job whose tasks run until it is cancelled are open all at once, and have too many tasks.
+    #[error(
+        "the job has long-running tasks and is repeated {occurrences} times: repeat it at most {limit} times, or give it fewer tasks"
+    )]
+    LongRunningOccurrences {
+        /// Number of occurrences.
+        occurrences: u32,
+        /// Largest number of occurrences with this number of tasks.
+        limit: usize,
+    },
 }
 
 pub(super) fn check(job: &Job) -> Result<(), Error> {
@@ -69,6 +79,10 @@
         }
         check_order(step, value)?;
     }
+    let limit = job.open_limit();
+    if job.is_long_running() && occurrences as usize > limit {
+        return Err(Error::LongRunningOccurrences { occurrences, limit });
+    }
     Ok(())
 }
 
--- a/crates/job/src/model/job.rs
+++ b/crates/job/src/model/job.rs
@@ -78,6 +78,12 @@
         self.steps.iter().map(|step| usize::from(step.count)).sum()
     }
 
+    /// Returns the largest number of occurrences that may be open at once. The progress of their tasks has to fit into one
+    /// log record.
+    pub fn open_limit(&self) -> usize {
+        (check::TASK_LIMIT / self.task_count().max(1)).max(1)
+    }
+
     /// Tells whether any task runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -30,7 +30,10 @@
     Step,
     progress::Outcome, //
 };
-use std::sync::Arc;
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
 
 /// Time between two checks of which jobs can still meet their objective.
 const TIER_INTERVAL: Duration = Duration::from_millis(100);
@@ -68,7 +71,7 @@
         let key = self.jobs.insert(ActiveJob {
             job,
             queue,
-            occurrences: Vec::new(),
+            occurrences: VecDeque::new(),
             next: 0,
             finished: 0,
             begun: false,
@@ -79,27 +82,20 @@
         key
     }
 
-    /// Opens the occurrences of a job that are due at `wall`, the time of day.
+    /// Opens the occurrences of a job that are due at `wall`, the time of day, as far as its open ones leave room. The
+    /// others follow in later turns, so that a job with many of them does not delay other jobs.
     pub(super) fn open_due_occurrences(&mut self, key: job::Key, wall: Time, now: Time) {
-        loop {
-            let Some(active) = self.jobs.get_mut(key) else {
-                return;
-            };
+        while let Some(active) = self.jobs.get_mut(key)
+            && active.may_open_next(wall)
+        {
             let number = active.next;
-            if active.outcome.is_some() || number >= active.job.occurrences() {
-                return;
-            }
-            let due = active.job.due(number);
-            if due.is_some_and(|due| wall < due) {
-                return;
-            }
             active.next += 1;
-            let from = match due {
+            let from = match active.job.due(number) {
                 Some(_) => now,
                 None => active.job.submitted.min(now),
             };
             let occurrence = Occurrence::new(&active.job, number, from);
-            active.occurrences.push(occurrence);
+            active.occurrences.push_back(occurrence);
             self.open_steps(key, number);
         }
     }
@@ -332,7 +328,7 @@
         };
         while active
             .occurrences
-            .first()
+            .front()
             .is_some_and(|occurrence| occurrence.number == active.finished && occurrence.is_done())
         {
             // A second run of a speculative task may still be stopping, and the handling of its end needs the
@@ -343,7 +339,7 @@
             }
             active.finished += 1;
             if active.finished < active.job.occurrences() {
-                active.occurrences.remove(0);
+                active.occurrences.pop_front();
             } else {
                 break;
             }
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -69,7 +69,9 @@
         active.next = active.next.max(progress.finished).min(job.occurrences());
         let from = job.submitted.min(now);
         for number in progress.finished..active.next {
-            active.occurrences.push(Occurrence::new(&job, number, from));
+            active
+                .occurrences
+                .push_back(Occurrence::new(&job, number, from));
         }
         for task in &progress.tasks {
             self.restore_task(key, task, crashed, now);
--- a/crates/schedule/src/job/job.rs
+++ b/crates/schedule/src/job/job.rs
@@ -16,7 +16,10 @@
     Job,
     progress::Outcome, //
 };
-use std::sync::Arc;
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
 
 /// Answers of the advice service about a step.
 #[derive(Clone, Debug, Default)]
@@ -116,9 +119,10 @@
     pub job: Arc<Job>,
     /// Queue of the job.
     pub queue: key::Queue,
-    /// Occurrences that are due and not done.
-    pub occurrences: Vec<Occurrence>,
-    /// Number of the first occurrence that is not due yet.
+    /// Open occurrences, by number and without gaps: a prefix of those that are due and not done. Later ones that are done
+    /// stay until all before them are.
+    pub occurrences: VecDeque<Occurrence>,
+    /// Number of the first occurrence that has not been opened.
     pub next: u32,
     /// All occurrences below this number are done.
     pub finished: u32,
@@ -131,18 +135,29 @@
 }
 
 impl ActiveJob {
-    /// Returns an active occurrence.
+    /// Returns an open occurrence.
     pub fn occurrence(&self, number: u32) -> Option<&Occurrence> {
-        self.occurrences
-            .iter()
-            .find(|occurrence| occurrence.number == number)
+        self.occurrences.get(self.occurrence_index(number)?)
     }
 
-    /// Returns an active occurrence.
+    /// Returns an open occurrence.
     pub fn occurrence_mut(&mut self, number: u32) -> Option<&mut Occurrence> {
-        self.occurrences
-            .iter_mut()
-            .find(|occurrence| occurrence.number == number)
+        let index = self.occurrence_index(number)?;
+        self.occurrences.get_mut(index)
+    }
+
+    /// Returns the position of an occurrence in [`occurrences`](Self::occurrences) if it is not before the first open one.
+    fn occurrence_index(&self, number: u32) -> Option<usize> {
+        let first = self.occurrences.front()?.number;
+        Some(number.checked_sub(first)? as usize)
+    }
+
+    /// Tells whether the next occurrence is due at `wall`, the time of day, and may be opened beside the open ones.
+    pub fn may_open_next(&self, wall: Time) -> bool {
+        self.outcome.is_none()
+            && self.next < self.job.occurrences()
+            && self.occurrences.len() < self.job.open_limit()
+            && self.job.due(self.next).is_none_or(|due| wall >= due)
     }
 
     /// Returns a task.
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -248,10 +248,15 @@
 
     /// Submits a job.
     pub(crate) fn submit(&mut self, id: u64, steps: Vec<Step>) -> Arc<Job> {
-        let job = Arc::new(Job {
+        self.submit_job(Job {
             submitted: self.time(),
             ..job(id, steps)
-        });
+        })
+    }
+
+    /// Submits a job with settings of its own.
+    pub(crate) fn submit_job(&mut self, job: Job) -> Arc<Job> {
+        let job = Arc::new(job);
         self.engine.add(Arc::clone(&job), self.time());
         self.append(Record::Job(Arc::clone(&job)));
         job
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -12,6 +12,7 @@
 mod host;
 mod lease;
 mod note;
+mod occurrence;
 mod pace;
 mod pending;
 mod place;
