fix(schedule): tell bad tasks from bad runners before a quarantine

Cause: three failed tasks in a row quarantined a runner, whichever tasks they were, and nothing limited how many runners of a pool were in quarantine. A job whose tasks fail everywhere went from one runner to the next.

Change: a runner is quarantined once three tasks have failed there that belong to several jobs, or to one job that has failed nowhere else; a task that fails for the third time no longer counts; a quarter of a pool may be in quarantine at once, as already for slow runners.

Both new tests failed before: tasks of another job started on 0 of 12 runners.

--- a/crates/schedule/src/engine/end.rs
+++ b/crates/schedule/src/engine/end.rs
@@ -10,10 +10,7 @@
         TaskKey,
         run, //
     },
-    note::{
-        Kind,
-        Note, //
-    },
+    note::Kind,
     order::report::{
         EndReason,
         Ended, //
@@ -23,11 +20,6 @@
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::progress::Outcome;
 
-/// Number of failed tasks in a row after which a runner is quarantined.
-const FAILURE_LIMIT: u32 = 3;
-/// Largest number of times that the quarantine doubles.
-const QUARANTINE_DOUBLINGS: u32 = 3;
-
 impl Engine {
     /// Handles the ends that a runner reports. They are acknowledged once the log has their consequences.
     pub(super) fn handle_ends(&mut self, key: runner::Key, mut ends: Vec<Ended>, now: Time) {
@@ -120,7 +112,6 @@
 
     /// Handles a failed attempt of a task, and ends its job after too many of them.
     fn fail_attempt(&mut self, task: TaskKey, runner_key: runner::Key, now: Time) {
-        self.record_failure(runner_key, now);
         let Some(active) = self.jobs.get_mut(task.job_key) else {
             return;
         };
@@ -132,40 +123,15 @@
         };
         state.failures = state.failures.saturating_add(1);
         state.avoid = Some(runner_key);
-        let failed = !long_running && state.failures >= limit;
+        let failures = state.failures;
+        let failed = !long_running && failures >= limit;
         if failed && active.outcome.is_none() {
             self.finish_job(task.job_key, Outcome::Failed, "attempts", now);
         }
+        self.record_failure(task, failures, runner_key, now);
         self.make_ready(task);
         if gang {
             self.stop_step(task.step(), "gang-broken", now);
         }
     }
-
-    /// Records that a runner completed a task.
-    fn record_success(&mut self, key: runner::Key) {
-        if let Some(runner) = self.runners.get_mut(key) {
-            runner.failures = 0;
-            runner.quarantines = 0;
-        }
-    }
-
-    /// Records that a task failed on a runner, and quarantines the runner after too many failures in a row.
-    fn record_failure(&mut self, key: runner::Key, now: Time) {
-        let quarantine = self.rules.quarantine;
-        let Some(runner) = self.runners.get_mut(key) else {
-            return;
-        };
-        runner.failures += 1;
-        if runner.failures < FAILURE_LIMIT {
-            return;
-        }
-        let doublings = runner.quarantines.min(QUARANTINE_DOUBLINGS);
-        runner.quarantines += 1;
-        runner.quarantined_until = now + quarantine * (1 << doublings);
-        // After the quarantine, a single failure leads to the next one.
-        runner.failures = FAILURE_LIMIT - 1;
-        let id = runner.id.clone();
-        self.note(Note::new(Kind::RunnerQuarantined, "failures", now).with_place(&id));
-    }
 }
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod place;
 mod poll;
+mod quarantine;
 mod report;
 mod restore;
 mod run;
--- a/crates/schedule/src/engine/place.rs
+++ b/crates/schedule/src/engine/place.rs
@@ -54,8 +54,8 @@
     exposed: usize,
     /// Number of reasons why the task is slower there or slows down others.
     unsuited: u8,
-    /// Number of tasks that failed there in a row.
-    failures: u32,
+    /// Number of tasks that failed there and say something about the runner.
+    failures: usize,
     /// Whether the runner's labels are scarce and the task does not need them.
     labels_scarce: bool,
     /// Whether the runner has no long-running task, so that its host could move to another pool.
@@ -272,7 +272,7 @@
         Score {
             exposed: self.exposed(runner, crashes, now),
             unsuited: u8::from(other_rack) + u8::from(disturbs),
-            failures: runner.failures,
+            failures: runner.failed.len(),
             labels_scarce: runner.labels_scarce && !required.any(|label| runner.has_label(label)),
             movable: runner.long_running == 0,
             together: racks.get(&*runner.rack).copied().unwrap_or_default(),
--- a/crates/schedule/src/engine/straggler.rs
+++ b/crates/schedule/src/engine/straggler.rs
@@ -4,7 +4,10 @@
 //! take a multiple of the usual duration is quarantined. Its runs are restarted elsewhere if they would end sooner
 //! there; a speculative task gets a second run beside the first one.
 
-use super::Engine;
+use super::{
+    Engine,
+    quarantine::Span, //
+};
 use crate::{
     job::{
         self, Run,
@@ -13,10 +16,6 @@
             Stage, //
         },
     },
-    note::{
-        Kind,
-        Note, //
-    },
     runner,
 };
 use sassafrascrank_base::prelude::*;
@@ -49,9 +48,6 @@
 const QUARANTINE: Duration = Duration::from_millis(1_500);
 /// Largest number of times that this time doubles.
 const QUARANTINE_DOUBLINGS: u32 = 2;
-/// Divisor of a pool's size, which yields the number of its runners that may be in quarantine at once. A pool that is
-/// slow as a whole is better than none.
-const QUARANTINE_DIVISOR: usize = 4;
 /// Shortest time that a restart has to save.
 const MIN_GAIN: Duration = Duration::from_millis(200);
 /// Divisor of the weight of a new sample in the mean ratio of actual durations to the callers' estimates.
@@ -158,7 +154,11 @@
         for key in keys {
             let speeds = self.speeds(key);
             if let Some(cause) = self.slow_cause(&speeds) {
-                self.quarantine_runner(key, cause, now);
+                let span = Span {
+                    first: QUARANTINE,
+                    doublings: QUARANTINE_DOUBLINGS,
+                };
+                self.quarantine(key, cause.as_str(), span, now);
                 for speed in speeds {
                     self.restart(speed, cause, now);
                 }
@@ -239,24 +239,6 @@
         (median >= SLOW_PERCENT).then_some(Cause::Slow(median))
     }
 
-    /// Quarantines a runner, unless it is in quarantine already or too many of its pool are.
-    fn quarantine_runner(&mut self, key: runner::Key, cause: Cause, now: Time) {
-        let pool = &self.pools[self.runners[key].pool].runners;
-        let quarantined = pool
-            .iter()
-            .filter(|&&other| now < self.runners[other].quarantined_until);
-        let full = quarantined.count() >= pool.len().div_ceil(QUARANTINE_DIVISOR);
-        let runner = &mut self.runners[key];
-        if full || now < runner.quarantined_until {
-            return;
-        }
-        let doublings = runner.quarantines.min(QUARANTINE_DOUBLINGS);
-        runner.quarantines += 1;
-        runner.quarantined_until = now + QUARANTINE * (1 << doublings);
-        let id = runner.id.clone();
-        self.note(Note::new(Kind::RunnerQuarantined, cause.as_str(), now).with_place(&id));
-    }
-
     /// Stops a run that would end later than a new one elsewhere, or adds a second run of a speculative task.
     fn restart(&mut self, speed: Speed, cause: Cause, now: Time) {
         let run = &self.runs[speed.run];
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -5,6 +5,7 @@
     Rules,
     job::{
         Run,
+        TaskKey,
         run, //
     },
     lease::ClockSample,
@@ -13,7 +14,10 @@
 use core::net::SocketAddr;
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::Resource;
-use std::sync::Arc;
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
 
 slotmap::new_key_type! {
     /// Identifies an incarnation of a runner within this process.
@@ -91,8 +95,8 @@
     pub durable_end: u64,
     /// All ends up to this number were acknowledged to the runner.
     pub acknowledged: u64,
-    /// Number of tasks in a row that failed there.
-    pub failures: u32,
+    /// Tasks that failed there since the last one that was done, unless they fail on other runners too. The latest ones.
+    pub failed: VecDeque<TaskKey>,
     /// No task starts there before this time.
     pub quarantined_until: Time,
     /// Number of quarantines in a row.
@@ -175,7 +179,7 @@
             last_end: 0,
             durable_end: 0,
             acknowledged: 0,
-            failures: 0,
+            failed: VecDeque::new(),
             quarantined_until: Time::MIN,
             quarantines: 0,
             last_busy: now,
--- a/crates/schedule/tests/engine/fail.rs
+++ b/crates/schedule/tests/engine/fail.rs
@@ -2,6 +2,7 @@
 
 use crate::harness::{
     Harness,
+    long_running,
     step, //
 };
 use sassafrascrank_base::prelude::*;
@@ -62,3 +63,48 @@
     harness.run_ms(2_000);
     insta::assert_snapshot!(harness.timeline());
 }
+
+/// Number of runners in the tests of jobs that always fail.
+const RUNNERS: u16 = 12;
+
+/// Lets jobs whose tasks all fail run beside a sound long-running task on each runner, for some seconds. Returns on how many
+/// runners tasks of another job then start.
+fn runners_beside_failing_jobs(failing: core::ops::Range<u64>) -> usize {
+    let mut harness = Harness::new(usize::from(RUNNERS), 1);
+    harness.task_duration = |task| (task.job != Id(1)).then_some(Duration::from_millis(300));
+    harness.fails = |task, _, _| task.job.0 < 100;
+    harness.submit(1, vec![long_running(RUNNERS, 1)]);
+    harness.run_ms(200);
+    for id in failing {
+        harness.submit(id, vec![long_running(8, 1)]);
+        harness.run_ms(100);
+    }
+    harness.run_ms(8_000);
+    let probe = Step {
+        max_per_runner: Some(1),
+        ..step(RUNNERS)
+    };
+    harness.submit(100, vec![probe]);
+    harness.run_ms(200);
+    let names: Vec<String> = harness.runners.keys().cloned().collect();
+    let probe = format!("{:016x}", 100);
+    let runs_probe = |name: &&String| {
+        let mut running = harness.running(name).into_iter();
+        running.any(|task| task.starts_with(&probe))
+    };
+    names.iter().filter(runs_probe).count()
+}
+
+/// Guards against one long-running job whose runs all fail bringing all runners of its pool into quarantine, so that no
+/// other job starts there.
+#[test]
+fn failing_job_does_not_close_runners_to_others() {
+    assert_eq!(runners_beside_failing_jobs(2..3), usize::from(RUNNERS));
+}
+
+/// Guards against several jobs whose tasks all fail bringing more than a quarter of a pool into quarantine.
+#[test]
+fn failing_jobs_close_few_runners_to_others() {
+    let open = runners_beside_failing_jobs(2..5);
+    assert!(open >= usize::from(RUNNERS) * 3 / 4, "{open} of {RUNNERS}");
+}
