fix(schedule): keep the long lease of a restarted runner with its runs

Callers saw: tasks that must run once ran twice, on two runners, after a runner had started again under its id and was cut off soon after.

Cause: an order names the end of a lease by the runner's clock, and the id does not tell incarnations apart. An order for the earlier incarnation that reaches the later one, whose clock starts anew, asks for a lease far ahead, so the runner grants its longest one. Only the leader that moved a run there waited for it. A run that started there later, the next leader, and a runner that had been forgotten meanwhile were reckoned with an ordinary lease.

Change: the leader keeps when it last asked an incarnation for a lease, and waits at later ones for the longest lease that may follow from it. The log has that bound with each assignment while it lies ahead. The simulated runners no longer grant any lease that an order asks for.

The four tests of reborn failed before, each with one pair of runs at once.

--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -343,7 +343,7 @@
         let records = self
             .engine
             .as_mut()
-            .and_then(|engine| engine.take_records());
+            .and_then(|engine| engine.take_records(now));
         let is_changed = self.update_behind(now);
         let records = match records {
             Some(mut records) => {
@@ -448,7 +448,7 @@
             return;
         };
         let mut records = match &mut self.engine {
-            Some(engine) => engine.take_records().unwrap_or_default(),
+            Some(engine) => engine.take_records(now).unwrap_or_default(),
             None => Vec::new(),
         };
         records.push(Record::Leader(Leader {
--- a/crates/control/tests/executor/main.rs
+++ b/crates/control/tests/executor/main.rs
@@ -238,7 +238,7 @@
     };
     engine.add(Arc::new(job), NOW);
     engine.tick(Permission::Start, NOW, NOW);
-    engine.take_records().expect("a run is planned");
+    engine.take_records(NOW).expect("a run is planned");
     engine.records_stored(NOW);
     engine.tick(Permission::Start, NOW, NOW);
     let mut orders = engine.take_orders().into_iter();
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -95,8 +95,9 @@
     done: bool,
     failures: u16,
     attempt: u32,
-    /// Runner, its incarnation, its host, attempt. A suspicion has the attempt [`SUSPICION`]. An assignment that is settled
-    /// has a second row with that attempt and without the host.
+    /// Runner, its incarnation, its host, attempt. A suspicion has the attempt [`SUSPICION`]. Further rows of an assignment
+    /// have that attempt too: one without a host if it is settled, and one with the end of a lease in place of the host, in
+    /// milliseconds since the Unix epoch.
     assignments: Vec<(String, u64, String, u32)>,
     checkpoint: Option<String>,
     /// Left out if it is 0, so that entries of versions without it can read the record.
@@ -323,13 +324,15 @@
             let host = at.host.to_string();
             (at.runner.to_string(), at.incarnation, host, SUSPICION)
         };
-        let settled = |at: &&Assignment| at.settled;
-        let settled_row = |at: &Assignment| {
+        let further = |at: &Assignment, text| {
             let runner = at.runner.to_string();
-            (runner, at.incarnation, String::new(), SUSPICION)
+            (runner, at.incarnation, text, SUSPICION)
         };
         let assignments = task.assignments.iter();
-        let settled = assignments.clone().filter(settled).map(settled_row);
+        let settled = assignments.clone().filter(|at| at.settled);
+        let settled = settled.map(|at| further(at, String::new()));
+        let leased = assignments.clone().filter(|at| at.lease_until > Time::MIN);
+        let leased = leased.map(|at| further(at, at.lease_until.as_millis().to_string()));
         Self {
             position: (occurrence, step, index),
             done: task.done,
@@ -338,6 +341,7 @@
             assignments: assignments
                 .map(row)
                 .chain(settled)
+                .chain(leased)
                 .chain(task.suspicions.iter().map(suspicion))
                 .collect(),
             checkpoint: task.checkpoint.as_deref().map(str::to_owned),
@@ -357,7 +361,10 @@
             let mut known = assignments.iter_mut();
             let assigned = known.find(|at| at.runner == runner && at.incarnation == incarnation);
             match (attempt, assigned) {
-                (SUSPICION, Some(assigned)) => assigned.settled = true,
+                (SUSPICION, Some(assigned)) => match host.parse() {
+                    Ok(until) => assigned.lease_until = Time::from_millis(until),
+                    Err(_) => assigned.settled = true,
+                },
                 (SUSPICION, None) => suspicions.push(Suspicion {
                     runner,
                     incarnation,
@@ -369,6 +376,7 @@
                     host,
                     attempt,
                     settled: false,
+                    lease_until: Time::MIN,
                 }),
             }
         }
--- a/crates/job/tests/format.rs
+++ b/crates/job/tests/format.rs
@@ -92,6 +92,18 @@
     stored("p00000000000000a6", &(9_u64, (), true, 0_u32, [task]))
 }
 
+/// The state of a job with a run whose runner may have granted a long lease to an order for its earlier incarnation.
+fn leased() -> (String, Vec<u8>) {
+    let position = (0_u32, 0_u16, 0_u16);
+    // The second row of the runner names attempt 0, and the end of the lease in place of the host.
+    let rows = [
+        ("runner-2", 1_800_u64, "host-2", 2_u32),
+        ("runner-2", 1_800, "1700000000123", 0),
+    ];
+    let task = (position, false, 0_u16, 2_u32, rows, ());
+    stored("p00000000000000a7", &(9_u64, (), true, 0_u32, [task]))
+}
+
 /// One record of each kind, by hand.
 fn records() -> Vec<(&'static str, (String, Vec<u8>))> {
     let leader = (
@@ -128,6 +140,7 @@
         ("cancelled progress", progress(0xa4, Some("Cancelled"))),
         ("job of a silent runner", silent()),
         ("job of a settled run", settled()),
+        ("job of a run with a long lease", leased()),
         ("leader", stored("leader", &leader)),
         ("leader behind the log", stored("leader", &behind)),
         (
--- a/crates/schedule/examples/scale.rs
+++ b/crates/schedule/examples/scale.rs
@@ -177,7 +177,7 @@
         }
         let began = Instant::now();
         engine.tick(Permission::Start, now, now);
-        if engine.take_records().is_some() {
+        if engine.take_records(now).is_some() {
             engine.records_stored(now);
         }
         spent += began.elapsed();
--- a/crates/schedule/src/config/rules.rs
+++ b/crates/schedule/src/config/rules.rs
@@ -10,6 +10,8 @@
     pub lease: Duration,
     /// Longest lease that a runner grants, whatever an order says.
     pub lease_limit: Duration,
+    /// Longest time from an order to a runner until it is carried out, if it is.
+    pub order_limit: Duration,
     /// Lease of a run that starts on an idle runner, until the first poll renews it. A short one limits how long a
     /// start stays in doubt if the host fails before it answers.
     pub first_lease: Duration,
@@ -46,6 +48,7 @@
         Self {
             lease: Duration::from_millis(3_500),
             lease_limit: Duration::from_millis(6_000),
+            order_limit: Duration::from_millis(1_000),
             first_lease: Duration::from_millis(1_500),
             leader_lease: Duration::from_millis(2_500),
             drift_permille: 20,
@@ -71,10 +74,10 @@
         self.expiry(self.lease, ordered)
     }
 
-    /// Returns the time by which every lease that a runner granted at `ordered` or before has ended, even if the order
-    /// named its end by the clock of an earlier incarnation. The clock of a later one starts anew.
+    /// Returns the time by which every lease has ended that was ordered at `ordered` or before, even if the order named its
+    /// end by the clock of an earlier incarnation. The clock of a later one starts anew.
     pub fn longest_lease_expiry(&self, ordered: Time) -> Time {
-        self.expiry(self.lease_limit, ordered)
+        self.expiry(self.lease_limit, ordered + self.order_limit)
     }
 
     fn expiry(&self, lease: Duration, ordered: Time) -> Time {
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -76,6 +76,9 @@
     pub(super) pool_index: HashMap<Arc<str>, key::Pool>,
     pub(super) runners: SlotMap<runner::Key, Runner>,
     pub(super) runner_index: HashMap<Arc<str>, runner::Key>,
+    /// For runners that were removed, the latest time at which a lease can end that a later incarnation has granted by
+    /// their clocks.
+    pub(super) earlier_leases: HashMap<Arc<str>, Time>,
     pub(super) jobs: SlotMap<job::Key, ActiveJob>,
     pub(super) job_index: HashMap<Id, job::Key>,
     pub(super) runs: SlotMap<run::Key, Run>,
@@ -123,6 +126,7 @@
             pool_index: HashMap::new(),
             runners: SlotMap::with_key(),
             runner_index: HashMap::new(),
+            earlier_leases: HashMap::new(),
             jobs: SlotMap::with_key(),
             job_index: HashMap::new(),
             runs: SlotMap::with_key(),
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -176,11 +176,13 @@
         if let Some(key) = known
             && assignment.incarnation <= self.runners[key].incarnation
         {
+            let longest = self.rules.longest_lease_expiry(now);
             let runner = &mut self.runners[key];
-            if assignment.incarnation < runner.incarnation {
-                let until = self.rules.longest_lease_expiry(now);
-                runner.runs_until = runner.runs_until.max(until);
-            }
+            let until = match assignment.incarnation < runner.incarnation {
+                true => longest,
+                false => assignment.lease_until.min(longest),
+            };
+            runner.earlier_lease_until = runner.earlier_lease_until.max(until);
             return Some(key);
         }
         let later = |runner: &Runner| {
@@ -193,8 +195,10 @@
             return None;
         }
         let pool = self.queues[self.jobs[task.job_key].queue].pool;
+        let longest = self.rules.longest_lease_expiry(now);
         let runner = Runner {
             host: Arc::clone(&assignment.host),
+            earlier_lease_until: assignment.lease_until.min(longest),
             ..Runner::from_log(
                 Arc::clone(&assignment.runner),
                 assignment.incarnation,
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -95,6 +95,10 @@
             self.move_runs(former, key, now);
             self.end_incarnation(former, Loss::Reborn, now);
         }
+        if let Some(&until) = self.earlier_leases.get(&id) {
+            let runner = &mut self.runners[key];
+            runner.earlier_lease_until = runner.earlier_lease_until.max(until);
+        }
         self.runner_index.insert(id, key);
         self.confirm_crashes(key, now);
         key
@@ -157,9 +161,7 @@
             self.runners[from].remove_run(key, &self.runs[key]);
             self.occupy(key, to, now);
             self.mark_dirty(job_key);
-            let later = &mut self.runners[to];
-            later.runs_until = later.runs_until.max(until);
-            later.rack_failed = rack_failed;
+            self.runners[to].rack_failed = rack_failed;
         }
     }
 
@@ -193,7 +195,7 @@
             self.lose(run, loss, now);
         }
         self.settle_crashes(key, loss, now);
-        self.remove_runner(key);
+        self.remove_runner(key, now);
         self.note(Note::new(Kind::RunnerGone, loss.as_str(), now).with_place(&id));
     }
 
@@ -204,15 +206,16 @@
         };
         if !runner.listed && runner.runs.is_empty() && runner.poll_sent.is_none() {
             let id = runner.id.clone();
-            self.remove_runner(key);
+            self.remove_runner(key, now);
             self.note(Note::new(Kind::RunnerGone, "left", now).with_place(&id));
         }
     }
 
-    fn remove_runner(&mut self, key: runner::Key) {
+    fn remove_runner(&mut self, key: runner::Key, now: Time) {
         let Some(runner) = self.runners.remove(key) else {
             return;
         };
+        self.keep_lease(&runner, now);
         self.pools[runner.pool]
             .runners
             .retain(|&other| other != key);
@@ -224,11 +227,21 @@
         }
     }
 
+    /// Keeps until when leases may last that a later incarnation of a removed runner has granted to orders for this one.
+    fn keep_lease(&mut self, removed: &Runner, now: Time) {
+        self.earlier_leases.retain(|_, until| *until > now);
+        let own = self.rules.longest_lease_expiry(removed.lease_ordered_at);
+        let until = own.max(removed.earlier_lease_until);
+        if until > now {
+            self.earlier_leases.insert(removed.id.clone(), until);
+        }
+    }
+
     /// Gives up the runs on runners that do not answer, once their leases have ended.
     pub(super) fn expire_leases(&mut self, now: Time) {
         let silent = |runner: &Runner| {
             let reachable = runner.fenced && runner.misses == 0 && runner.address.is_some();
-            !reachable && now > runner.runs_until && !runner.runs.is_empty()
+            !reachable && now > runner.last_run_end() && !runner.runs.is_empty()
         };
         let keys = self.runners.iter().filter(|(_, runner)| silent(runner));
         let keys: Vec<runner::Key> = keys.map(|(key, _)| key).collect();
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -67,8 +67,14 @@
     pub closing: bool,
     /// Latest sample of its clock.
     pub clock: Option<ClockSample>,
-    /// Latest time at which a run can still be alive if no lease is renewed.
+    /// Latest time at which a run can still be alive if no lease is renewed, by the leases that this incarnation was asked
+    /// for.
     pub runs_until: Time,
+    /// When this leader last asked it for a lease.
+    pub lease_ordered_at: Time,
+    /// Latest time at which a lease can end that was asked for by the clock of an earlier incarnation; in the past if there
+    /// is none.
+    pub earlier_lease_until: Time,
     /// Whether it has answered an order of this leader, so that it rejects orders of earlier leaders.
     pub fenced: bool,
     /// When the poll in flight was sent.
@@ -166,6 +172,8 @@
             closing: false,
             clock: None,
             runs_until,
+            lease_ordered_at: Time::MIN,
+            earlier_lease_until: Time::MIN,
             fenced: false,
             poll_sent: None,
             renewal: None,
@@ -239,10 +247,16 @@
     /// and updates [`runs_until`](Self::runs_until).
     pub fn renew_lease(&mut self, span: Duration, rules: &Rules, now: Time) -> Option<u64> {
         let until = self.clock?.estimate_ms(now) + span.as_millis() as u64;
+        self.lease_ordered_at = now;
         self.runs_until = self.runs_until.max(self.latest_expiry(until, rules)?);
         Some(until)
     }
 
+    /// Returns the latest time at which a run can still be alive if no lease is renewed, whatever clock it was asked for by.
+    pub fn last_run_end(&self) -> Time {
+        self.runs_until.max(self.earlier_lease_until)
+    }
+
     /// Returns the latest time at which `until` milliseconds of the runner's clock are reached, with a margin, or `None`
     /// if that clock is unknown.
     pub fn latest_expiry(&self, until: u64, rules: &Rules) -> Option<Time> {
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -205,7 +205,7 @@
             draining: None,
             clock: None,
         };
-        let worker = Worker::new(id, incarnation, 64, 1_000, self.now);
+        let worker = self.worker(id, incarnation);
         self.hosts.add(&listed.host, pool);
         let runner = TestRunner { worker, listed };
         self.engine
@@ -286,7 +286,7 @@
     pub(crate) fn decide_without_orders(&mut self) {
         let now = self.time();
         self.engine.tick(Permission::Start, now, now);
-        for record in self.engine.take_records().unwrap_or_default() {
+        for record in self.engine.take_records(now).unwrap_or_default() {
             self.append(record);
         }
         self.add_line("leader lost");
@@ -300,10 +300,19 @@
 
     /// Restarts a runner under its name. The engine does not read the service list.
     pub(crate) fn restart_unlisted(&mut self, id: &str) {
+        let incarnation = self.runners[id].listed.incarnation + 100;
+        let worker = self.worker(id, incarnation);
         let runner = self.runners.get_mut(id).expect("the runner exists");
         runner.worker.terminate(self.now);
-        runner.listed.incarnation += 100;
-        runner.worker = Worker::new(id, runner.listed.incarnation, 64, 1_000, self.now);
+        runner.listed.incarnation = incarnation;
+        runner.worker = worker;
+    }
+
+    /// Returns a new incarnation of a runner.
+    fn worker(&self, id: &str, incarnation: u64) -> Worker {
+        let mut worker = Worker::new(id, incarnation, 64, 1_000, self.now);
+        worker.lease_limit = self.rules.lease_limit;
+        worker
     }
 
     /// Returns the service list.
@@ -327,11 +336,22 @@
 
     /// Replaces the engine by that of a new leader, which knows what the log has, and the given service list.
     pub(crate) fn take_over_with(&mut self, list: Vec<Listed>) {
+        let ordered = self.time() + self.rules.leader_lease;
+        self.replace_engine(list, ordered);
+    }
+
+    /// Replaces the engine by that of a new leader, after the former one has resigned and gives no more orders.
+    pub(crate) fn take_over_after_resignation(&mut self) {
+        self.replace_engine(self.service_list(), self.time());
+    }
+
+    /// Replaces the engine by that of a new leader. Former leaders may give orders until `ordered`.
+    fn replace_engine(&mut self, list: Vec<Listed>, ordered: Time) {
         let now = self.time();
         self.epoch += 1;
         let takeover = Takeover {
             epoch: self.epoch,
-            runs_until: self.rules.lease_expiry(now + self.rules.leader_lease),
+            runs_until: self.rules.lease_expiry(ordered),
             hosts: self.replica.host_orders().clone(),
         };
         let mut engine = Engine::new(self.rules, takeover, &config(), now);
@@ -372,7 +392,7 @@
             self.deliver(report, Duration::ZERO);
         }
         self.engine.tick(Permission::Start, now, now);
-        if let Some(records) = self.engine.take_records() {
+        if let Some(records) = self.engine.take_records(now) {
             for record in records {
                 self.append(record.clone());
                 if let Record::Progress(progress) = record {
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -16,6 +16,7 @@
 mod pace;
 mod pending;
 mod place;
+mod reborn;
 mod report;
 mod restore;
 mod series;
--- /dev/null
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -0,0 +1,122 @@
+//! Leases of runners that start again under their names. An order for the earlier incarnation names the end of the lease by
+//! its clock, and the later one, whose clock starts anew, grants its longest lease.
+
+use crate::harness::{
+    Harness,
+    step, //
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_schedule::{
+    config::Rules,
+    runner::Change, //
+};
+
+/// Returns a harness with one runner whose clock has gone on for longer than its longest lease.
+fn with_old_runner() -> Harness {
+    let rules = Rules {
+        lease_limit: Duration::from_secs(10),
+        ..Rules::default()
+    };
+    let mut harness = Harness::with_rules(1, rules, &[]);
+    harness.task_duration = |_| None;
+    harness.run_ms(12_000);
+    harness
+}
+
+/// Returns a harness in which a poll for the earlier incarnation has reached the later one. A task has started there since.
+fn with_polled_restart() -> Harness {
+    let mut harness = with_old_runner();
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(1_000);
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.run_ms(100);
+    harness.list_runners();
+    harness.run_ms(300);
+    harness
+}
+
+/// Cuts the runner off, and lets its task start elsewhere.
+fn cut(harness: &mut Harness) {
+    harness.unreachable.insert("r0".to_owned());
+    harness.add_line("cut");
+    harness.add_runner("r1", "pool", "rack1");
+}
+
+/// Checks that the task starts elsewhere, and only once its run at the first runner has ended.
+fn check(harness: &mut Harness, name: &str) {
+    harness.run_ms(12_000);
+    for runner in harness.runners.values_mut() {
+        runner.worker.advance(harness.now);
+    }
+    assert_eq!(harness.overlaps(), 0, "{}", harness.timeline());
+    insta::assert_snapshot!(name, harness.timeline());
+    assert_eq!(harness.running("r1").len(), 1);
+}
+
+/// Guards against a second run of a task whose start reached the later incarnation. The leader that learned of the restart
+/// waits for the longest lease; the next one did not know of it.
+#[test]
+fn later_leader_waits_for_the_lease_of_a_moved_run() {
+    let mut harness = with_old_runner();
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.submit(1, vec![step(1)]);
+    harness.decide();
+    harness.list_runners();
+    harness.run_ms(200);
+    cut(&mut harness);
+    harness.run_ms(200);
+    harness.take_over_after_resignation();
+    check(
+        &mut harness,
+        "later_leader_waits_for_the_lease_of_a_moved_run",
+    );
+}
+
+/// Guards against a second run of a task that started after the restart had become known. A poll for the earlier incarnation
+/// has given the later one its longest lease.
+#[test]
+fn run_that_starts_after_a_restart_keeps_the_lease_of_an_earlier_poll() {
+    let mut harness = with_polled_restart();
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "run_that_starts_after_a_restart_keeps_the_lease_of_an_earlier_poll",
+    );
+}
+
+/// Guards against the same fault after a change of the leader.
+#[test]
+fn later_leader_waits_for_the_lease_of_an_earlier_poll() {
+    let mut harness = with_polled_restart();
+    cut(&mut harness);
+    harness.take_over_after_resignation();
+    check(
+        &mut harness,
+        "later_leader_waits_for_the_lease_of_an_earlier_poll",
+    );
+}
+
+/// Guards against the same fault if the runner was forgotten meanwhile, because it was not listed and its run had ended.
+#[test]
+fn runner_that_was_forgotten_keeps_the_lease_of_an_earlier_poll() {
+    let mut harness = with_old_runner();
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(1_000);
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    let gone = Change::Removed("r0".into());
+    harness.polls_unanswered = true;
+    harness.engine.update_runner(gone, harness.time());
+    harness.run_ms(4_200);
+    harness.polls_unanswered = false;
+    harness.list_runners();
+    harness.add_line("listed");
+    harness.run_ms(100);
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "runner_that_was_forgotten_keeps_the_lease_of_an_earlier_poll",
+    );
+}
--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -5,6 +5,9 @@
     time::Duration, //
 };
 
+/// Longest lease that a worker grants unless a test sets another one: `holdMaxMs` of the smallest deployment.
+const LEASE_LIMIT: Duration = Duration::from_secs(6);
+
 /// Why an order was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
@@ -134,6 +137,8 @@
     pub stop_time: Duration,
     /// End of the lease by its clock, in milliseconds.
     lease_until: u64,
+    /// Longest lease that it grants, by its clock, whatever an order asks for.
+    pub lease_limit: Duration,
     /// Highest attempt of each task that has ended or was stopped.
     past_attempts: HashMap<String, u32>,
     /// All ended runs, for assertions.
@@ -158,6 +163,7 @@
             fenced: true,
             stop_time: Duration::ZERO,
             lease_until: 0,
+            lease_limit: LEASE_LIMIT,
             past_attempts: HashMap::new(),
             history: Vec::new(),
             unacknowledged: HashMap::new(),
@@ -272,7 +278,7 @@
         if order.until <= self.clock(now) {
             return Err(Refusal::LeaseExpired);
         }
-        self.lease_until = self.lease_until.max(order.until);
+        self.extend_lease(order.until, now);
         if self.runs.len() >= self.max_runs {
             return Err(Refusal::NoCapacity);
         }
@@ -337,11 +343,17 @@
         }
         self.ends.retain(|end| end.number > acknowledged);
         if let Some(until) = until {
-            self.lease_until = self.lease_until.max(until);
+            self.extend_lease(until, now);
         }
         Ok(())
     }
 
+    /// Extends the lease until `until` milliseconds of its clock, but not beyond the longest one that it grants.
+    fn extend_lease(&mut self, until: u64, now: Duration) {
+        let longest = self.clock(now) + self.lease_limit.as_millis() as u64;
+        self.lease_until = self.lease_until.max(until.min(longest));
+    }
+
     /// Terminates the instance and everything that it runs.
     pub fn terminate(&mut self, now: Duration) {
         self.advance(now);
