fix(schedule): rank an occurrence by when it was due

Callers saw: jobs waited behind the occurrences of a schedule that began long ago, although those could not be in time any more.

Cause: the objective of an occurrence counted from when the leader opened it, and after a change of the leader from the submission of the job.

Change: it counts from the time at which the occurrence was due, and so does the rank that it is opened with. Jobs without a schedule are ranked as before.

Evidence: the test overdue_occurrences_wait_for_jobs_that_can_be_in_time failed before: nothing of the second job had started 0.9 s after its submission.

--- a/crates/schedule/src/engine/admit.rs
+++ b/crates/schedule/src/engine/admit.rs
@@ -19,6 +19,7 @@
         Note, //
     },
     queue::{
+        Queue,
         Rank,
         Tier, //
     },
@@ -90,16 +91,27 @@
         {
             let number = active.next;
             active.next += 1;
-            let from = match active.job.due(number) {
-                Some(_) => now,
-                None => active.job.submitted.min(now),
-            };
-            let occurrence = Occurrence::new(&active.job, number, from);
-            active.occurrences.push_back(occurrence);
+            self.open_occurrence(key, number, wall, now);
             self.open_steps(key, number);
         }
     }
 
+    /// Adds the occurrence that follows the last open one of a job. Its tasks are blocked. `wall` is the time of day.
+    pub(super) fn open_occurrence(&mut self, key: job::Key, number: u32, wall: Time, now: Time) {
+        let active = &mut self.jobs[key];
+        let job = &active.job;
+        let occurrence = match job.due(number) {
+            Some(due) => {
+                let mut occurrence = Occurrence::new(job, number, now - wall.since(due));
+                // It may be opened long after it was due.
+                occurrence.tier = tier(job, &occurrence, &self.queues[active.queue], now);
+                occurrence
+            }
+            None => Occurrence::new(job, number, job.submitted.min(now)),
+        };
+        active.occurrences.push_back(occurrence);
+    }
+
     /// Makes the tasks of all steps ready whose earlier steps are done.
     pub(super) fn open_steps(&mut self, key: job::Key, number: u32) {
         let Some(active) = self.jobs.get_mut(key) else {
@@ -214,18 +226,8 @@
         let mut changed = Vec::new();
         for (key, active) in &self.jobs {
             let queue = &self.queues[active.queue];
-            let job = Arc::clone(&active.job);
             for occurrence in &active.occurrences {
-                let left = remaining_estimate(&job, occurrence);
-                let objective = deadline(&job, queue.stretch, queue.target, occurrence.due);
-                let span = objective.since(occurrence.due);
-                let late_after = occurrence.due + span * LATE_PERCENT / 100;
-                let overdue_after = occurrence.due + span * OVERDUE_FACTOR;
-                let tier = match now + left / 2 {
-                    end if end <= late_after => Tier::Timely,
-                    end if end <= overdue_after => Tier::Late,
-                    _ => Tier::Overdue,
-                };
+                let tier = tier(&active.job, occurrence, queue, now);
                 if tier != occurrence.tier {
                     changed.push((key, occurrence.number, tier));
                 }
@@ -414,6 +416,20 @@
     }
 }
 
+/// Returns whether an occurrence can still meet its objective.
+fn tier(job: &Job, occurrence: &Occurrence, queue: &Queue, now: Time) -> Tier {
+    let left = remaining_estimate(job, occurrence);
+    let objective = deadline(job, queue.stretch, queue.target, occurrence.due);
+    let span = objective.since(occurrence.due);
+    let late_after = occurrence.due + span * LATE_PERCENT / 100;
+    let overdue_after = occurrence.due + span * OVERDUE_FACTOR;
+    match now + left / 2 {
+        end if end <= late_after => Tier::Timely,
+        end if end <= overdue_after => Tier::Late,
+        _ => Tier::Overdue,
+    }
+}
+
 /// Returns the length of the critical path through the steps that are not done, by the caller's estimates.
 fn remaining_estimate(job: &Job, occurrence: &Occurrence) -> Duration {
     let mut ends = vec![Duration::ZERO; job.steps.len()];
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     job::{
-        self, Occurrence, Run, State, TaskKey,
+        self, Run, State, TaskKey,
         run::{
             self,
             Stage, //
@@ -46,7 +46,7 @@
         }
         let key = self.insert_job(Arc::clone(job));
         if let Some(progress) = progress {
-            self.restore_progress(key, progress, entry.crashed, now);
+            self.restore_progress(key, progress, entry.crashed, wall, now);
         }
         match outcome {
             Some(outcome) => self.finish_job(key, outcome, "inherited", now),
@@ -59,19 +59,23 @@
         }
     }
 
-    fn restore_progress(&mut self, key: job::Key, progress: &Progress, crashed: Time, now: Time) {
+    fn restore_progress(
+        &mut self,
+        key: job::Key,
+        progress: &Progress,
+        crashed: Time,
+        wall: Time,
+        now: Time,
+    ) {
         let active = &mut self.jobs[key];
         active.begun = progress.begun;
         active.finished = progress.finished;
-        let job = Arc::clone(&active.job);
         let newest = progress.tasks.iter().map(|task| task.position.occurrence);
-        active.next = newest.max().map_or(progress.finished, |newest| newest + 1);
-        active.next = active.next.max(progress.finished).min(job.occurrences());
-        let from = job.submitted.min(now);
-        for number in progress.finished..active.next {
-            active
-                .occurrences
-                .push_back(Occurrence::new(&job, number, from));
+        let next = newest.max().map_or(progress.finished, |newest| newest + 1);
+        let next = next.max(progress.finished).min(active.job.occurrences());
+        active.next = next;
+        for number in progress.finished..next {
+            self.open_occurrence(key, number, wall, now);
         }
         for task in &progress.tasks {
             self.restore_task(key, task, crashed, now);
