fix(schedule): count the wait for a connection to the time that an order takes

The bound of the longest lease at a restarted runner allowed 1 s for an order by the clock of the earlier incarnation. An order may wait 0.5 s for a connection and 0.7 s for its answer. Found by reading; no run has shown it.

--- a/crates/schedule/src/config/rules.rs
+++ b/crates/schedule/src/config/rules.rs
@@ -10,7 +10,8 @@
     pub lease: Duration,
     /// Longest lease that a runner grants, whatever an order says.
     pub lease_limit: Duration,
-    /// Longest time from an order to a runner until it is carried out, if it is.
+    /// Longest time from an order to a runner until it is carried out: the wait for a connection and the time for the
+    /// answer. The platform may carry out a few orders later.
     pub order_limit: Duration,
     /// Lease of a run that starts on an idle runner, until the first poll renews it. A short one limits how long a
     /// start stays in doubt if the host fails before it answers.
@@ -48,7 +49,7 @@
         Self {
             lease: Duration::from_millis(3_500),
             lease_limit: Duration::from_millis(6_000),
-            order_limit: Duration::from_millis(1_000),
+            order_limit: Duration::from_millis(1_200),
             first_lease: Duration::from_millis(1_500),
             leader_lease: Duration::from_millis(2_500),
             drift_permille: 20,
