test(soak): cut runners off after a restart under their ids

The soak restarted runners under their ids and held links, but not of the same runner one after the other, and had no task that outlasts a lease. A further sort of faults does so, and one of 12 jobs has tasks of 8 to 12 s.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -44,6 +44,8 @@
 const ATTEMPTS: usize = 6;
 /// Time between two reads of a job.
 const READ_INTERVAL: Duration = Duration::from_millis(900);
+/// One of this many jobs has tasks that run for longer than the longest lease of a runner.
+const LONG_WORK_SHARE: u32 = 12;
 /// Number of reads of a job, which bounds the calls of a run.
 const READS: usize = 12;
 
@@ -105,7 +107,10 @@
             queue: name.to_owned(),
             pool: pool.to_owned(),
             steps,
-            work: (!lasting).then(|| random.random_range(300..2_000)),
+            work: (!lasting).then(|| match random.random_range(0..LONG_WORK_SHARE) {
+                0 => random.random_range(8_000..12_000),
+                _ => random.random_range(300..2_000),
+            }),
             accepted: None,
             cancelled: false,
             shown: Vec::new(),
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -18,6 +18,10 @@
 const SERIES: u64 = 9_000;
 /// Time between two series. Long-running tasks are judged while the last 7 s are calm.
 const CALM: u64 = 11_000;
+/// Number of sorts of faults.
+const SORTS: u8 = 11;
+/// The sort of runners that start again under their ids and are cut off soon after.
+const RESTART_AND_CUT: u8 = 10;
 /// Largest number of faults of a run.
 const LIMIT: usize = 600;
 
@@ -45,6 +49,8 @@
     Freeze(usize),
     /// A runner crashes, and starts again at the end, under the same id if so.
     Crash(usize, bool),
+    /// A runner is cut off from all entries.
+    Cut(usize),
     /// A runner drains until the end, leaves, and a new one starts a second later.
     Drain(usize),
     /// The proxies of an entry are in this mode.
@@ -109,7 +115,7 @@
         let length = SERIES.min(size.millis - series - 1_000);
         // Each series mixes one to three sorts of faults, so that a broken case stays readable.
         for _ in 0..random.random_range(1..=3) {
-            let sort = random.random_range(0..10);
+            let sort = random.random_range(0..SORTS);
             let count = match sort {
                 // Many crashes a second.
                 3 | 4 => random.random_range(20..=90),
@@ -119,12 +125,19 @@
             for _ in 0..count {
                 let begin = series + random.random_range(0..length);
                 let (fault, lasts) = draw(&mut random, sort, subject, size);
-                if allowed(fault, kinds) && events.len() < LIMIT {
-                    events.push(Event {
-                        begin: Duration::from_millis(begin),
-                        end: Duration::from_millis((begin + lasts).min(size.millis)),
-                        fault,
-                    });
+                let mut add = |begin: u64, fault: Fault, lasts: u64| {
+                    if allowed(fault, kinds) && events.len() < LIMIT && begin < size.millis {
+                        events.push(Event {
+                            begin: Duration::from_millis(begin),
+                            end: Duration::from_millis((begin + lasts).min(size.millis)),
+                            fault,
+                        });
+                    }
+                };
+                add(begin, fault, lasts);
+                if let (RESTART_AND_CUT, Fault::Crash(host, _)) = (sort, fault) {
+                    let cut = begin + lasts + random.random_range(200..3_000);
+                    add(cut, Fault::Cut(host), random.random_range(2_000..9_000));
                 }
             }
         }
@@ -137,7 +150,7 @@
 fn allowed(fault: Fault, kinds: Kinds) -> bool {
     match fault {
         Fault::Kill(_) | Fault::Terminate(_) | Fault::Freeze(_) => kinds.entries,
-        Fault::Crash(..) | Fault::Drain(_) => kinds.runners,
+        Fault::Crash(..) | Fault::Cut(_) | Fault::Drain(_) => kinds.runners,
         Fault::Link(..) | Fault::Close(..) => kinds.links,
         Fault::Log(..) => kinds.log,
     }
@@ -180,6 +193,7 @@
             (Fault::Link(subject, target, mode), short)
         }
         8 => (Fault::Log(Some(subject), log(random)), short),
+        RESTART_AND_CUT => (Fault::Crash(host, true), random.random_range(50..900)),
         _ => (Fault::Log(None, log(random)), short),
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -251,6 +251,7 @@
             stage.cluster.crash(&name(host));
             set_runner(stage, host, Mode::Refuse);
         }
+        Fault::Cut(host) => set_runner(stage, host, Mode::Hold),
         Fault::Drain(host) => stage.cluster.drain(&name(host), lasts),
         Fault::Link(entry, target, mode) => set(stage, entry, target, mode),
         Fault::Close(entry, target, close) => {
@@ -270,6 +271,7 @@
             set_runner(stage, host, Mode::Pass);
             stage.cluster.restart(&name(host), same_id);
         }
+        Fault::Cut(host) => set_runner(stage, host, Mode::Pass),
         Fault::Drain(host) => {
             sleep(REPLACEMENT).await;
             stage.cluster.restart(&name(host), false);
