fix(schedule): wait for the long lease of an inherited run that moves

A leader that learns of a restart moves the runs that the earlier incarnation has not listed. The bound of their lease followed only from this leader's own orders, but a former leader may have ordered the start.

The test leader_that_moves_an_inherited_run_waits_for_its_lease failed before the fix with one pair of runs at once.

--- a/crates/schedule/src/engine/quarantine.rs
+++ b/crates/schedule/src/engine/quarantine.rs
@@ -47,8 +47,8 @@
         }
     }
 
-    /// Records that a task failed on a runner, for the time with the number `failures`, and quarantines the runner after
-    /// too many failed tasks.
+    /// Records that a task failed on a runner, and quarantines the runner after too many failed tasks. `failures` is the number
+    /// of the task's failures on all runners.
     pub(super) fn record_failure(
         &mut self,
         task: TaskKey,
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -161,7 +161,10 @@
             self.runners[from].remove_run(key, &self.runs[key]);
             self.occupy(key, to, now);
             self.mark_dirty(job_key);
-            self.runners[to].rack_failed = rack_failed;
+            let later = &mut self.runners[to];
+            // A former leader may have given the order for the earlier incarnation.
+            later.earlier_lease_until = later.earlier_lease_until.max(until);
+            later.rack_failed = rack_failed;
         }
     }
 
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -74,6 +74,24 @@
     );
 }
 
+/// Guards against the same fault if the leader that learns of the restart has not ordered the start itself.
+#[test]
+fn leader_that_moves_an_inherited_run_waits_for_its_lease() {
+    let mut harness = with_old_runner();
+    let outdated = harness.service_list();
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.submit(1, vec![step(1)]);
+    harness.decide();
+    harness.take_over_with(outdated);
+    harness.run_ms(200);
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "leader_that_moves_an_inherited_run_waits_for_its_lease",
+    );
+}
+
 /// Guards against a second run of a task that started after the restart had become known. A poll for the earlier incarnation
 /// has given the later one its longest lease.
 #[test]
