test(control): restart runners under their names and cut them off

In the simulation a runner that started again had a new name, so no schedule had orders for the earlier incarnation that reach the later one. The new scenario has four such restarts a run, each followed by a cut, and tasks that outlast the leases.

--- a/crates/control/tests/simulation/event.rs
+++ b/crates/control/tests/simulation/event.rs
@@ -94,8 +94,10 @@
     CutLeader { runner: usize, until: Duration },
     /// The reads of the leader fail, but not its appends, and no other entry can reach a runner.
     CutReads { runner: usize, until: Duration },
-    /// A runner is killed and starts again.
-    Crash { runner: usize },
+    /// A runner is killed and starts again, under another name if so.
+    Crash { runner: usize, renamed: bool },
+    /// All entries read the service list.
+    List,
     /// A killed process starts again.
     Boot(usize),
 }
@@ -202,7 +204,8 @@
             }
             Event::CutLeader { runner, until } => self.cut_leader(runner, until),
             Event::CutReads { runner, until } => self.cut_reads(runner, until),
-            Event::Crash { runner } => self.crash(runner),
+            Event::Crash { runner, renamed } => self.crash(runner, renamed),
+            Event::List => self.list_to_all(),
         }
     }
 
@@ -251,14 +254,17 @@
         Some(leader)
     }
 
-    fn crash(&mut self, runner: usize) {
+    fn crash(&mut self, runner: usize, renamed: bool) {
         let now = self.now;
         let fences = self.scenario.fences;
         let runner = &mut self.runners[runner];
         runner.worker.terminate(now);
         runner.history.append(&mut runner.worker.history);
         runner.incarnation += 1;
-        let id = format!("{}-{}", runner.host, runner.incarnation);
+        let id = match renamed {
+            true => format!("{}-{}", runner.host, runner.incarnation),
+            false => runner.worker.id.clone(),
+        };
         let mut worker = sassafrascrank_standin::cluster::Worker::new(
             &id,
             runner.incarnation,
@@ -268,7 +274,11 @@
         );
         worker.set_fenced(fences);
         runner.worker = worker;
-        self.list_to_all();
+        match renamed {
+            true => self.list_to_all(),
+            // Until then, orders for the earlier incarnation reach the later one.
+            false => self.push_after(10, 1_500, Event::List),
+        }
     }
 
     /// Returns `None` if the entry handles events now, `Some(Some(time))` if it is paused until `time`, and
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -46,6 +46,9 @@
 const FAULTS_END: Duration = Duration::from_millis(9_000);
 /// Virtual time between the last effect of a fault and the end of the run.
 const RECOVERY: Duration = Duration::from_millis(23_000);
+/// Longest time after the end of the other faults for which runners are cut off that have started again under their names.
+/// It is also allowed for the longer tasks of these runs.
+const LATE_CUTS: Duration = Duration::from_millis(8_000);
 /// Time between two decisions of an entry.
 const TICK: Duration = Duration::from_millis(25);
 /// Name of the queue of all jobs.
@@ -90,6 +93,9 @@
     /// Range of the time after which the front thread passes an answer to its caller, in milliseconds; `None` if it does
     /// so at once.
     pub(crate) answer_delay_ms: Option<(u64, u64)>,
+    /// Number of times that a runner starts again under its name and is cut off soon after. Tasks are longer then, so that
+    /// they outlast the leases of runners.
+    pub(crate) cut_restarts: usize,
     /// Number of times that the log drops its history.
     pub(crate) expiries: usize,
     /// Largest number of records that a read of the log returns at once.
@@ -111,6 +117,7 @@
             failed_reads: 0,
             read_delay_ms: (500, 6_500),
             answer_delay_ms: None,
+            cut_restarts: 0,
             expiries: 0,
             page_limit: usize::MAX,
         }
@@ -125,7 +132,11 @@
             0 => Duration::ZERO,
             _ => Duration::from_millis(self.read_delay_ms.1),
         };
-        FAULTS_END + delay + RECOVERY
+        let cuts = match self.cut_restarts {
+            0 => Duration::ZERO,
+            _ => LATE_CUTS + LATE_CUTS,
+        };
+        FAULTS_END + delay + cuts + RECOVERY
     }
 }
 
@@ -314,7 +325,10 @@
                     until,
                 },
                 4 => Event::CutRunnerFromAll { runner, until },
-                5 => Event::Crash { runner },
+                5 => Event::Crash {
+                    runner,
+                    renamed: true,
+                },
                 _ => Event::CutLeader { runner, until },
             };
             self.push(at, fault);
@@ -337,6 +351,18 @@
             };
             self.push(at, fault);
         }
+        for _ in 0..self.scenario.cut_restarts {
+            let at = self.millis(4_000, 8_500);
+            let runner = self.rng.random_range(0..self.scenario.workers);
+            let crash = Event::Crash {
+                runner,
+                renamed: false,
+            };
+            self.push(at, crash);
+            let cut = at + self.millis(20, 3_000);
+            let until = (cut + self.millis(1_000, 9_000)).min(FAULTS_END + LATE_CUTS);
+            self.push(cut, Event::CutRunnerFromAll { runner, until });
+        }
         for _ in 0..self.scenario.expiries {
             let at = self.millis(500, 9_000);
             self.push(at, Event::Expire);
--- a/crates/control/tests/simulation/order.rs
+++ b/crates/control/tests/simulation/order.rs
@@ -169,6 +169,7 @@
         let fails = attempt == 1 && mixed.is_multiple_of(13);
         // Some tasks are long enough to still run at a runner that is cut off while another leader takes over.
         let work = match mixed.is_multiple_of(3) {
+            true if self.scenario.cut_restarts > 0 => 6_000 + mixed % 4_000,
             true => 2_000 + mixed % 3_000,
             false => 100 + mixed % 700,
         };
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -192,6 +192,19 @@
     assert_none(&faults(scenario, 0..READ_SCHEDULES), |_| true);
 }
 
+/// Guards against two attempts of a task at the same time, and against jobs that are lost, when runners start again under
+/// their names and are cut off soon after, with a lease by the clock of the earlier incarnation.
+#[test]
+fn no_task_runs_twice_when_restarted_runners_are_cut_off() {
+    let scenario = Scenario {
+        cut_restarts: 4,
+        // An order that is carried out seconds late may reach an incarnation that does not know of a later stop.
+        late_orders: 0.0,
+        ..Scenario::default()
+    };
+    assert_none(&faults(scenario, 0..READ_SCHEDULES), is_job_fault);
+}
+
 /// Guards against reports on orders of an earlier lead that count for the runs and runners of a later lead of the same
 /// entry: a run counts as started or lost that is not, and the leader gives up the lead.
 #[test]
