fix(schedule): store the long lease of a restarted runner on its own

Cause: the log had the bound of the lease with the runs at the runner, so it was lost while there were none, for example because the leader had learned of the restart and had given up the runs of the earlier incarnation.

The test later_leader_knows_the_lease_of_a_restarted_runner_without_runs failed before.

--- a/crates/control/src/control/control.rs
+++ b/crates/control/src/control/control.rs
@@ -292,6 +292,7 @@
             Record::Progress(progress) => self.observation_of(progress.epoch),
             Record::Wave(wave) => self.observation_of(wave.epoch),
             Record::HostOrder(order) => self.observation_of(order.epoch),
+            Record::Lease(lease) => self.observation_of(lease.epoch),
             Record::Demand(demand) => self.observation_of(demand.epoch),
             _ => return,
         };
--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -222,6 +222,7 @@
             epoch: claim.epoch,
             runs_until: self.runs_until(),
             hosts: self.replica.host_orders().clone(),
+            leases: self.replica.leases().clone(),
         };
         let mut engine = Engine::new(self.rules, takeover, config, now);
         engine.restore_demand(self.replica.demand(), now);
@@ -343,7 +344,7 @@
         let records = self
             .engine
             .as_mut()
-            .and_then(|engine| engine.take_records(now));
+            .and_then(|engine| engine.take_records());
         let is_changed = self.update_behind(now);
         let records = match records {
             Some(mut records) => {
@@ -448,7 +449,7 @@
             return;
         };
         let mut records = match &mut self.engine {
-            Some(engine) => engine.take_records(now).unwrap_or_default(),
+            Some(engine) => engine.take_records().unwrap_or_default(),
             None => Vec::new(),
         };
         records.push(Record::Leader(Leader {
--- a/crates/control/tests/executor/main.rs
+++ b/crates/control/tests/executor/main.rs
@@ -75,6 +75,7 @@
         epoch: EPOCH,
         runs_until: Time::MIN,
         hosts: HashMap::new(),
+        leases: HashMap::new(),
     };
     let mut engine = Engine::new(Rules::default(), takeover, &Config::default(), now);
     for index in 0..RUNNERS {
@@ -238,7 +239,7 @@
     };
     engine.add(Arc::new(job), NOW);
     engine.tick(Permission::Start, NOW, NOW);
-    engine.take_records(NOW).expect("a run is planned");
+    engine.take_records().expect("a run is planned");
     engine.records_stored(NOW);
     engine.tick(Permission::Start, NOW, NOW);
     let mut orders = engine.take_orders().into_iter();
--- a/crates/job/src/progress/progress.rs
+++ b/crates/job/src/progress/progress.rs
@@ -4,7 +4,6 @@
     Id,
     id::Position, //
 };
-use sassafrascrank_base::prelude::*;
 use std::sync::Arc;
 
 /// How a job ended.
@@ -32,9 +31,6 @@
     pub attempt: u32,
     /// The attempt has worked for so long that it is not the cause if the runner ends, or the runner is about to leave.
     pub settled: bool,
-    /// Latest time at which a lease of the runner can end that was asked for by the clock of an earlier incarnation; in the
-    /// past if there is none.
-    pub lease_until: Time,
 }
 
 /// A runner that stopped answering soon after it had started a task. It may have crashed, or may only be cut off.
--- a/crates/job/src/record/leader.rs
+++ b/crates/job/src/record/leader.rs
@@ -4,6 +4,7 @@
     Demand,
     HostOrder,
     Leader,
+    Lease,
     PoolDemand,
     Wave,
     wire::millis, //
@@ -42,6 +43,13 @@
     at: u64,
 }
 
+#[derive(serde::Deserialize, serde::Serialize)]
+pub(super) struct WireLease {
+    epoch: u64,
+    /// Microseconds since the Unix epoch.
+    until: u64,
+}
+
 #[derive(serde::Deserialize, serde::Serialize)]
 pub(super) struct WirePoolDemand {
     pool: String,
@@ -152,6 +160,25 @@
     }
 }
 
+impl From<&Lease> for WireLease {
+    fn from(lease: &Lease) -> Self {
+        Self {
+            epoch: lease.epoch,
+            until: lease.until.as_micros(),
+        }
+    }
+}
+
+impl WireLease {
+    pub(super) fn with_runner(self, runner: &str) -> Lease {
+        Lease {
+            epoch: self.epoch,
+            runner: runner.into(),
+            until: Time::from_micros(self.until),
+        }
+    }
+}
+
 impl From<&HostOrder> for WireHostOrder {
     fn from(order: &HostOrder) -> Self {
         Self {
--- a/crates/job/src/record/mod.rs
+++ b/crates/job/src/record/mod.rs
@@ -8,6 +8,7 @@
     Demand,
     HostOrder,
     Leader,
+    Lease,
     PoolDemand,
     Record,
     Wave, //
--- a/crates/job/src/record/record.rs
+++ b/crates/job/src/record/record.rs
@@ -56,6 +56,18 @@
     pub at: Time,
 }
 
+/// The bound of a lease that a runner, which has started again under its name, may have granted to an order for its earlier
+/// incarnation. Such an order names the end of the lease by another clock.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Lease {
+    /// Epoch of the leader that wrote it.
+    pub epoch: u64,
+    /// Name of the runner.
+    pub runner: Arc<str>,
+    /// Latest time at which the lease can end.
+    pub until: Time,
+}
+
 /// Forecast of the demand on one pool.
 ///
 /// A peak is a time in which much more work than usual is submitted to the pool.
@@ -98,6 +110,8 @@
     Wave(Wave),
     /// The leader writes the host to which it is about to send an order.
     HostOrder(HostOrder),
+    /// The leader writes the bound of a lease.
+    Lease(Lease),
     /// The leader writes its forecast of the demand.
     Demand(Demand),
     /// All records of an ended job are removed.
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -2,8 +2,8 @@
 //!
 //! The keys of a job's records are `j`, `c` and `p`, for submission, cancellation and progress, followed by the job's
 //! identity. The key of a wave is `w`, its number, `/` and the name of a host; the name is empty in the record that
-//! ends the wave. The key of an order is `h` and the name of the host. The leader and its forecast of demand have fixed
-//! keys.
+//! ends the wave. The key of an order is `h` and the name of the host, that of a lease `r` and the name of the runner. The
+//! leader and its forecast of demand have fixed keys.
 //!
 //! Structs are stored as arrays of their fields, so the order of the fields is part of the format.
 
@@ -13,6 +13,7 @@
         WireDemand,
         WireHostOrder,
         WireLeader,
+        WireLease,
         WireWave, //
     },
 };
@@ -95,9 +96,8 @@
     done: bool,
     failures: u16,
     attempt: u32,
-    /// Runner, its incarnation, its host, attempt. A suspicion has the attempt [`SUSPICION`]. Further rows of an assignment
-    /// have that attempt too: one without a host if it is settled, and one with the end of a lease in place of the host, in
-    /// milliseconds since the Unix epoch.
+    /// Runner, its incarnation, its host, attempt. A suspicion has the attempt [`SUSPICION`]. An assignment that is settled
+    /// has a second row with that attempt and without the host.
     assignments: Vec<(String, u64, String, u32)>,
     checkpoint: Option<String>,
     /// Left out if it is 0, so that entries of versions without it can read the record.
@@ -143,6 +143,7 @@
             format!("h{}", order.host),
             pack(&WireHostOrder::from(order)),
         ),
+        Record::Lease(lease) => (format!("r{}", lease.runner), pack(&WireLease::from(lease))),
         Record::Demand(demand) => (DEMAND_KEY.to_owned(), pack(&WireDemand::from(demand))),
         Record::Forget(id) => (format!("j{id}"), Vec::new()),
     }
@@ -175,6 +176,10 @@
         let wire: WireHostOrder = unpack(key, value)?;
         return Ok(Some(Record::HostOrder(wire.with_host(name))));
     }
+    if kind == "r" {
+        let wire: WireLease = unpack(key, value)?;
+        return Ok(Some(Record::Lease(wire.with_runner(name))));
+    }
     let id = Id::try_from(name).map_err(|_| unknown())?;
     Ok(Some(match kind {
         "j" if value.is_empty() => Record::Forget(id),
@@ -324,15 +329,13 @@
             let host = at.host.to_string();
             (at.runner.to_string(), at.incarnation, host, SUSPICION)
         };
-        let further = |at: &Assignment, text| {
+        let settled = |at: &&Assignment| at.settled;
+        let settled_row = |at: &Assignment| {
             let runner = at.runner.to_string();
-            (runner, at.incarnation, text, SUSPICION)
+            (runner, at.incarnation, String::new(), SUSPICION)
         };
         let assignments = task.assignments.iter();
-        let settled = assignments.clone().filter(|at| at.settled);
-        let settled = settled.map(|at| further(at, String::new()));
-        let leased = assignments.clone().filter(|at| at.lease_until > Time::MIN);
-        let leased = leased.map(|at| further(at, at.lease_until.as_millis().to_string()));
+        let settled = assignments.clone().filter(settled).map(settled_row);
         Self {
             position: (occurrence, step, index),
             done: task.done,
@@ -341,7 +344,6 @@
             assignments: assignments
                 .map(row)
                 .chain(settled)
-                .chain(leased)
                 .chain(task.suspicions.iter().map(suspicion))
                 .collect(),
             checkpoint: task.checkpoint.as_deref().map(str::to_owned),
@@ -361,10 +363,7 @@
             let mut known = assignments.iter_mut();
             let assigned = known.find(|at| at.runner == runner && at.incarnation == incarnation);
             match (attempt, assigned) {
-                (SUSPICION, Some(assigned)) => match host.parse() {
-                    Ok(until) => assigned.lease_until = Time::from_millis(until),
-                    Err(_) => assigned.settled = true,
-                },
+                (SUSPICION, Some(assigned)) => assigned.settled = true,
                 (SUSPICION, None) => suspicions.push(Suspicion {
                     runner,
                     incarnation,
@@ -376,7 +375,6 @@
                     host,
                     attempt,
                     settled: false,
-                    lease_until: Time::MIN,
                 }),
             }
         }
--- a/crates/job/src/replica/replica.rs
+++ b/crates/job/src/replica/replica.rs
@@ -81,6 +81,9 @@
     waves: BTreeMap<u64, Wave>,
     /// When an order to each host was last written.
     host_orders: HashMap<Arc<str>, Time>,
+    /// Bounds of the leases of runners that have started again under their names, as long as they lay ahead when they were
+    /// read.
+    leases: HashMap<Arc<str>, Time>,
     demand: Demand,
 }
 
@@ -140,6 +143,13 @@
                 self.host_orders.insert(order.host, order.at);
                 Change::None
             }
+            Record::Lease(lease) => {
+                self.leases.retain(|_, until| *until > now);
+                if lease.until > now {
+                    self.leases.insert(lease.runner, lease.until);
+                }
+                Change::None
+            }
             Record::Demand(demand) => {
                 if demand.epoch >= self.demand.epoch {
                     self.demand = demand;
@@ -196,6 +206,11 @@
         &self.host_orders
     }
 
+    /// Returns the bounds of the leases of runners that have started again under their names.
+    pub fn leases(&self) -> &HashMap<Arc<str>, Time> {
+        &self.leases
+    }
+
     /// Returns the forecast of demand that the latest leader has written.
     pub fn demand(&self) -> &Demand {
         &self.demand
--- a/crates/job/tests/format.rs
+++ b/crates/job/tests/format.rs
@@ -92,18 +92,6 @@
     stored("p00000000000000a6", &(9_u64, (), true, 0_u32, [task]))
 }
 
-/// The state of a job with a run whose runner may have granted a long lease to an order for its earlier incarnation.
-fn leased() -> (String, Vec<u8>) {
-    let position = (0_u32, 0_u16, 0_u16);
-    // The second row of the runner names attempt 0, and the end of the lease in place of the host.
-    let rows = [
-        ("runner-2", 1_800_u64, "host-2", 2_u32),
-        ("runner-2", 1_800, "1700000000123", 0),
-    ];
-    let task = (position, false, 0_u16, 2_u32, rows, ());
-    stored("p00000000000000a7", &(9_u64, (), true, 0_u32, [task]))
-}
-
 /// One record of each kind, by hand.
 fn records() -> Vec<(&'static str, (String, Vec<u8>))> {
     let leader = (
@@ -140,7 +128,6 @@
         ("cancelled progress", progress(0xa4, Some("Cancelled"))),
         ("job of a silent runner", silent()),
         ("job of a settled run", settled()),
-        ("job of a run with a long lease", leased()),
         ("leader", stored("leader", &leader)),
         ("leader behind the log", stored("leader", &behind)),
         (
@@ -148,6 +135,10 @@
             stored("w12/host-1", &(9_u64, ["host-1"], false)),
         ),
         ("finished wave", stored("w12/", &(9_u64, [0_u8; 0], true))),
+        (
+            "lease of a restarted runner",
+            stored("rrunner-1", &(9_u64, 1_700_000_000_u64)),
+        ),
         (
             "ordered host",
             stored("hhost-1", &(9_u64, 1_700_000_000_u64)),
--- a/crates/schedule/examples/scale.rs
+++ b/crates/schedule/examples/scale.rs
@@ -160,6 +160,7 @@
         epoch: 1,
         runs_until: Time::MIN,
         hosts: HashMap::new(),
+        leases: HashMap::new(),
     };
     let mut engine = Engine::new(Rules::default(), takeover, &config(), START_TIME);
     for index in 0..runners {
@@ -177,7 +178,7 @@
         }
         let began = Instant::now();
         engine.tick(Permission::Start, now, now);
-        if engine.take_records(now).is_some() {
+        if engine.take_records().is_some() {
             engine.records_stored(now);
         }
         spent += began.elapsed();
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -31,7 +31,8 @@
 use sassafrascrank_job::{
     Id,
     Policy,
-    progress::Suspicion, //
+    progress::Suspicion,
+    record, //
 };
 use slotmap::SlotMap;
 use std::{
@@ -48,6 +49,9 @@
     pub runs_until: Time,
     /// When former leaders last gave an order to each host.
     pub hosts: HashMap<Arc<str>, Time>,
+    /// For runners that have started again under their names, the latest time at which a lease can end that they have granted
+    /// to orders for earlier incarnations.
+    pub leases: HashMap<Arc<str>, Time>,
 }
 
 /// What happens once the log has the records of a decision.
@@ -76,9 +80,11 @@
     pub(super) pool_index: HashMap<Arc<str>, key::Pool>,
     pub(super) runners: SlotMap<runner::Key, Runner>,
     pub(super) runner_index: HashMap<Arc<str>, runner::Key>,
-    /// For runners that were removed, the latest time at which a lease can end that a later incarnation has granted by
-    /// their clocks.
+    /// For the names of runners, the latest time at which a lease can end that an incarnation has granted to orders for an
+    /// earlier one.
     pub(super) earlier_leases: HashMap<Arc<str>, Time>,
+    /// Those of these times that the log lacks.
+    pub(super) unstored_leases: Vec<record::Lease>,
     pub(super) jobs: SlotMap<job::Key, ActiveJob>,
     pub(super) job_index: HashMap<Id, job::Key>,
     pub(super) runs: SlotMap<run::Key, Run>,
@@ -126,7 +132,8 @@
             pool_index: HashMap::new(),
             runners: SlotMap::with_key(),
             runner_index: HashMap::new(),
-            earlier_leases: HashMap::new(),
+            earlier_leases: takeover.leases,
+            unstored_leases: Vec::new(),
             jobs: SlotMap::with_key(),
             job_index: HashMap::new(),
             runs: SlotMap::with_key(),
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -180,13 +180,10 @@
         if let Some(key) = known
             && assignment.incarnation <= self.runners[key].incarnation
         {
-            let longest = self.rules.longest_lease_expiry(now);
-            let runner = &mut self.runners[key];
-            let until = match assignment.incarnation < runner.incarnation {
-                true => longest,
-                false => assignment.lease_until.min(longest),
-            };
-            runner.earlier_lease_until = runner.earlier_lease_until.max(until);
+            if assignment.incarnation < self.runners[key].incarnation {
+                let until = self.rules.longest_lease_expiry(now);
+                self.extend_earlier_lease(key, until, now);
+            }
             return Some(key);
         }
         let later = |runner: &Runner| {
@@ -199,10 +196,8 @@
             return None;
         }
         let pool = self.queues[self.jobs[task.job_key].queue].pool;
-        let longest = self.rules.longest_lease_expiry(now);
         let runner = Runner {
             host: Arc::clone(&assignment.host),
-            earlier_lease_until: assignment.lease_until.min(longest),
             ..Runner::from_log(
                 Arc::clone(&assignment.runner),
                 assignment.incarnation,
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -23,6 +23,7 @@
     },
 };
 use sassafrascrank_base::prelude::*;
+use sassafrascrank_job::record;
 
 impl Engine {
     /// Applies a change of the service list.
@@ -96,8 +97,8 @@
             self.end_incarnation(former, Loss::Reborn, now);
         }
         if let Some(&until) = self.earlier_leases.get(&id) {
-            let runner = &mut self.runners[key];
-            runner.earlier_lease_until = runner.earlier_lease_until.max(until);
+            let longest = self.rules.longest_lease_expiry(now);
+            self.extend_earlier_lease(key, until.min(longest), now);
         }
         self.runner_index.insert(id, key);
         self.confirm_crashes(key, now);
@@ -161,10 +162,9 @@
             self.runners[from].remove_run(key, &self.runs[key]);
             self.occupy(key, to, now);
             self.mark_dirty(job_key);
-            let later = &mut self.runners[to];
             // A former leader may have given the order for the earlier incarnation.
-            later.earlier_lease_until = later.earlier_lease_until.max(until);
-            later.rack_failed = rack_failed;
+            self.extend_earlier_lease(to, until, now);
+            self.runners[to].rack_failed = rack_failed;
         }
     }
 
@@ -230,6 +230,20 @@
         }
     }
 
+    /// Records the latest time at which a lease can end that a runner has granted to orders for an earlier incarnation. The next
+    /// leader has to know it.
+    pub(super) fn extend_earlier_lease(&mut self, key: runner::Key, until: Time, now: Time) {
+        let runner = &mut self.runners[key];
+        if until > now && until > runner.earlier_lease_until {
+            runner.earlier_lease_until = until;
+            self.unstored_leases.push(record::Lease {
+                epoch: self.epoch,
+                runner: runner.id.clone(),
+                until,
+            });
+        }
+    }
+
     /// Keeps until when leases may last that a later incarnation of a removed runner has granted to orders for this one.
     fn keep_lease(&mut self, removed: &Runner, now: Time) {
         self.earlier_leases.retain(|_, until| *until > now);
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -29,12 +29,13 @@
             || !self.effects.is_empty()
             || !self.fleet.unstored_waves.is_empty()
             || !self.fleet.unstored_orders.is_empty()
+            || !self.unstored_leases.is_empty()
             || self.fleet.demand.unstored
     }
 
     /// Returns the records that the log lacks, or `None` if there are none or earlier ones are still being appended.
     /// The caller calls [`records_stored`](Self::records_stored) once the log has them.
-    pub fn take_records(&mut self, now: Time) -> Option<Vec<Record>> {
+    pub fn take_records(&mut self) -> Option<Vec<Record>> {
         if self.storing.is_some() || !self.is_dirty() {
             return None;
         }
@@ -43,7 +44,7 @@
             if let Some(active) = self.jobs.get_mut(key) {
                 active.dirty = false;
                 let ended = active.outcome.is_some();
-                records.push(Record::Progress(Arc::new(self.progress(key, now))));
+                records.push(Record::Progress(Arc::new(self.progress(key))));
                 if ended {
                     self.drop_when_stored(key);
                 }
@@ -66,6 +67,8 @@
                 }));
             }
         }
+        let leases = core::mem::take(&mut self.unstored_leases);
+        records.extend(leases.into_iter().map(Record::Lease));
         if core::mem::take(&mut self.fleet.demand.unstored) {
             records.push(Record::Demand(self.demand_record()));
         }
@@ -116,7 +119,7 @@
     }
 
     /// Returns the state of a job for the log.
-    fn progress(&self, key: job::Key, now: Time) -> Progress {
+    fn progress(&self, key: job::Key) -> Progress {
         let active = &self.jobs[key];
         let tasks = active.occurrences.iter();
         let tasks = tasks
@@ -128,7 +131,7 @@
             begun: active.begun,
             finished: active.finished,
             tasks: tasks
-                .flat_map(|occurrence| self.tasks(key, active, occurrence, now))
+                .flat_map(|occurrence| self.tasks(key, active, occurrence))
                 .collect(),
         }
     }
@@ -139,7 +142,6 @@
         key: job::Key,
         active: &'a ActiveJob,
         occurrence: &'a Occurrence,
-        now: Time,
     ) -> impl Iterator<Item = progress::Task> + use<'a> {
         let ended = active.outcome.is_some();
         let steps = active.job.steps.iter().zip(&occurrence.steps).enumerate();
@@ -168,14 +170,14 @@
                     crashes: task.crashes,
                     suspicions,
                     attempt: task.attempt,
-                    assignments: self.assignments(task, now),
+                    assignments: self.assignments(task),
                     checkpoint: task.checkpoint.clone(),
                 })
             })
         })
     }
 
-    fn assignments(&self, task: &job::Task, now: Time) -> Vec<Assignment> {
+    fn assignments(&self, task: &job::Task) -> Vec<Assignment> {
         let runs = task.runs.iter().filter_map(|&run| self.runs.get(run));
         let assignment = |run: &job::Run| {
             let runner = self.runners.get(run.runner)?;
@@ -185,10 +187,6 @@
                 host: Arc::clone(&runner.host),
                 attempt: run.attempt,
                 settled: run.settled,
-                lease_until: match runner.earlier_lease_until > now {
-                    true => runner.earlier_lease_until,
-                    false => Time::MIN,
-                },
             })
         };
         runs.filter_map(assignment).collect()
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -45,7 +45,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        HashMap, //
     },
     fmt::Write,
     sync::Arc,
@@ -141,6 +142,7 @@
             epoch: FIRST_EPOCH,
             runs_until: Time::MIN,
             hosts: ordered.iter().map(row).collect(),
+            leases: HashMap::new(),
         };
         let engine = Engine::new(rules, takeover, &config(), START_TIME);
         let mut harness = Self {
@@ -286,7 +288,7 @@
     pub(crate) fn decide_without_orders(&mut self) {
         let now = self.time();
         self.engine.tick(Permission::Start, now, now);
-        for record in self.engine.take_records(now).unwrap_or_default() {
+        for record in self.engine.take_records().unwrap_or_default() {
             self.append(record);
         }
         self.add_line("leader lost");
@@ -353,6 +355,7 @@
             epoch: self.epoch,
             runs_until: self.rules.lease_expiry(ordered),
             hosts: self.replica.host_orders().clone(),
+            leases: self.replica.leases().clone(),
         };
         let mut engine = Engine::new(self.rules, takeover, &config(), now);
         for listed in list {
@@ -392,7 +395,7 @@
             self.deliver(report, Duration::ZERO);
         }
         self.engine.tick(Permission::Start, now, now);
-        if let Some(records) = self.engine.take_records(now) {
+        if let Some(records) = self.engine.take_records() {
             for record in records {
                 self.append(record.clone());
                 if let Record::Progress(progress) = record {
--- a/crates/schedule/tests/engine/host.rs
+++ b/crates/schedule/tests/engine/host.rs
@@ -103,11 +103,11 @@
         hosts.count()
     };
     let mut ordered = vec![orders(&mut harness)];
-    assert!(harness.engine.take_records(harness.time()).is_some());
+    assert!(harness.engine.take_records().is_some());
     harness.now += Duration::from_secs(2);
     harness.engine.records_stored(harness.time());
     ordered.push(orders(&mut harness));
-    assert!(harness.engine.take_records(harness.time()).is_some());
+    assert!(harness.engine.take_records().is_some());
     harness.now += Duration::from_millis(20);
     harness.engine.records_stored(harness.time());
     ordered.push(orders(&mut harness));
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -116,6 +116,25 @@
     );
 }
 
+/// Guards against the same fault if the change of the leader comes between the restart and the start of the task, so that the
+/// log has no run at the runner.
+#[test]
+fn later_leader_knows_the_lease_of_a_restarted_runner_without_runs() {
+    let mut harness = with_old_runner();
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(1_000);
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.run_ms(100);
+    harness.take_over_after_resignation();
+    harness.run_ms(200);
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "later_leader_knows_the_lease_of_a_restarted_runner_without_runs",
+    );
+}
+
 /// Guards against the same fault if the runner was forgotten meanwhile, because it was not listed and its run had ended.
 #[test]
 fn runner_that_was_forgotten_keeps_the_lease_of_an_earlier_poll() {
--- a/crates/tool/tests/jobs.rs
+++ b/crates/tool/tests/jobs.rs
@@ -64,7 +64,6 @@
         host: (*host).into(),
         attempt: u32::from(failures) + 1,
         settled: false,
-        lease_until: Time::MIN,
     };
     progress::Task {
         position: Position {
