fix(schedule): acknowledge no end to a runner that may have restarted

Callers would see: a task that was done runs again (TWICE).

Cause: a poll names the ends that it acknowledges by their numbers, and is repeated until an answer shows that they were acknowledged. If the runner has restarted under its name meanwhile, it numbers its ends anew, and forgets one that the leader has not seen.

Change: a poll after a call without an answer acknowledges nothing. Its answer names the incarnation, and the next poll acknowledges the ends.

The test end_is_not_acknowledged_to_a_runner_that_may_have_restarted failed before: the second task started again after it was done.

--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -75,8 +75,10 @@
                 false => wait,
             };
             // A later incarnation, which numbers its ends anew, may get the poll. Ends are named only until an answer shows
-            // that they were acknowledged, so that it doesn't forget ends that were not handled.
-            let acknowledged = match runner.acknowledged < runner.durable_end {
+            // that they were acknowledged, and not while the runner may have restarted, so that it doesn't forget ends that
+            // were not handled.
+            let unacknowledged = runner.acknowledged < runner.durable_end;
+            let acknowledged = match unacknowledged && runner.misses == 0 {
                 true => runner.durable_end,
                 false => 0,
             };
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -3,11 +3,16 @@
 
 use crate::harness::{
     Harness,
+    Planned,
     step, //
 };
-use sassafrascrank_base::prelude::*;
+use sassafrascrank_base::{
+    fault::Cause,
+    prelude::*, //
+};
 use sassafrascrank_schedule::{
     config::Rules,
+    order::report::Failure,
     runner::Change, //
 };
 
@@ -157,3 +162,30 @@
         "runner_that_was_forgotten_keeps_the_lease_of_an_earlier_poll",
     );
 }
+
+/// Guards against a task that starts again after it was done: a poll that is sent after one without an answer acknowledges an
+/// end of the earlier incarnation to the later one, which has an end of the same number.
+#[test]
+fn end_is_not_acknowledged_to_a_runner_that_may_have_restarted() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| Some(Duration::from_millis(10));
+    harness.submit(1, vec![step(1)]);
+    while harness.runners["r0"].worker.ends.is_empty() {
+        harness.run_ms(20);
+    }
+    harness.faults.planned.push(Planned {
+        id: "r0",
+        call: "poll",
+        count: 1,
+        failure: Failure::Unknown,
+        cause: Cause::Timeout,
+        after: Duration::ZERO,
+    });
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.submit(2, vec![step(1)]);
+    harness.run_ms(200);
+    harness.list_runners();
+    harness.run_ms(2_000);
+    insta::assert_snapshot!(harness.timeline());
+}
