feat(schedule): log how long a restarted runner may hold a lease

A task at such a runner that falls silent starts elsewhere only after that time, and no log line said why. runner-leased names the runner and the time.

--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -234,14 +234,18 @@
     /// leader has to know it.
     pub(super) fn extend_earlier_lease(&mut self, key: runner::Key, until: Time, now: Time) {
         let runner = &mut self.runners[key];
-        if until > now && until > runner.earlier_lease_until {
-            runner.earlier_lease_until = until;
-            self.unstored_leases.push(record::Lease {
-                epoch: self.epoch,
-                runner: runner.id.clone(),
-                until,
-            });
+        if until <= now || until <= runner.earlier_lease_until {
+            return;
         }
+        runner.earlier_lease_until = until;
+        let id = runner.id.clone();
+        let note = Note::new(Kind::RunnerLeased, "restarted", now);
+        self.note(note.with_place(&id).with_age(until.since(now)));
+        self.unstored_leases.push(record::Lease {
+            epoch: self.epoch,
+            runner: id,
+            until,
+        });
     }
 
     /// Keeps until when leases may last that a later incarnation of a removed runner has granted to orders for this one.
--- a/crates/schedule/src/note/note.rs
+++ b/crates/schedule/src/note/note.rs
@@ -71,6 +71,8 @@
     RunnerBack = "runner-back";
     /// An incarnation of a runner has ended.
     RunnerGone = "runner-gone";
+    /// A runner has restarted under its name, and may hold a lease by the clock of its earlier incarnation.
+    RunnerLeased = "runner-leased";
     /// A runner gets no tasks for a while, since tasks failed or were slow there.
     RunnerQuarantined = "runner-quarantined";
     /// The share of a background task was changed for the sake of serving tasks beside it.
