--- /dev/null
+++ b/crates/schedule/tests/engine/harness/takeover.rs
@@ -0,0 +1,67 @@
+//! Changes of the leader.
+
+use super::{
+    Harness,
+    fixture::config, //
+};
+use sassafrascrank_base::prelude::*;
+use sassafrascrank_schedule::{
+    engine::{
+        Engine,
+        Permission,
+        Takeover, //
+    },
+    runner::{
+        Change,
+        Listed, //
+    },
+};
+
+impl Harness {
+    /// Lets the engine decide, and stores its records. The leader is lost before it gives an order.
+    pub(crate) fn decide_without_orders(&mut self) {
+        let now = self.time();
+        self.engine.tick(Permission::Start, now, now);
+        for record in self.engine.take_records().unwrap_or_default() {
+            self.append(record);
+        }
+        self.add_line("leader lost");
+    }
+
+    /// Replaces the engine by that of a new leader, which knows what the log and the service list have.
+    pub(crate) fn take_over(&mut self) {
+        self.take_over_with(self.service_list());
+    }
+
+    /// Replaces the engine by that of a new leader, which knows what the log has, and the given service list.
+    pub(crate) fn take_over_with(&mut self, list: Vec<Listed>) {
+        let ordered = self.time() + self.rules.leader_lease;
+        self.replace_engine(list, ordered);
+    }
+
+    /// Replaces the engine by that of a new leader, after the former one has resigned and gives no more orders.
+    pub(crate) fn take_over_after_resignation(&mut self) {
+        self.replace_engine(self.service_list(), self.time());
+    }
+
+    /// Replaces the engine by that of a new leader. Former leaders may give orders until `ordered`.
+    fn replace_engine(&mut self, list: Vec<Listed>, ordered: Time) {
+        let now = self.time();
+        self.epoch += 1;
+        let takeover = Takeover {
+            epoch: self.epoch,
+            runs_until: self.rules.lease_expiry(ordered),
+            hosts: self.replica.host_orders().clone(),
+            leases: self.replica.leases().clone(),
+        };
+        let mut engine = Engine::new(self.rules, takeover, &config(), now);
+        for listed in list {
+            engine.update_runner(Change::Set(listed), now);
+        }
+        for (_, entry) in self.replica.jobs() {
+            engine.restore_job(entry, now, now);
+        }
+        self.engine = engine;
+        self.add_line("another leader");
+    }
+}
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -28,13 +28,19 @@
     harness
 }
 
-/// Returns a harness in which a poll for the earlier incarnation has reached the later one. A task has started there since.
-fn with_polled_restart() -> Harness {
+/// Returns a harness in which the runner has just restarted while a task ran there.
+fn with_restart() -> Harness {
     let mut harness = with_old_runner();
     harness.submit(1, vec![step(1)]);
     harness.run_ms(1_000);
     harness.restart_unlisted("r0");
     harness.add_line("restarted");
+    harness
+}
+
+/// Returns a harness in which a poll for the earlier incarnation has reached the later one. A task has started there since.
+fn with_polled_restart() -> Harness {
+    let mut harness = with_restart();
     harness.run_ms(100);
     harness.list_runners();
     harness.run_ms(300);
@@ -125,11 +131,7 @@
 /// log has no run at the runner.
 #[test]
 fn later_leader_knows_the_lease_of_a_restarted_runner_without_runs() {
-    let mut harness = with_old_runner();
-    harness.submit(1, vec![step(1)]);
-    harness.run_ms(1_000);
-    harness.restart_unlisted("r0");
-    harness.add_line("restarted");
+    let mut harness = with_restart();
     harness.run_ms(100);
     harness.take_over_after_resignation();
     harness.run_ms(200);
@@ -143,11 +145,7 @@
 /// Guards against the same fault if the runner was forgotten meanwhile, because it was not listed and its run had ended.
 #[test]
 fn runner_that_was_forgotten_keeps_the_lease_of_an_earlier_poll() {
-    let mut harness = with_old_runner();
-    harness.submit(1, vec![step(1)]);
-    harness.run_ms(1_000);
-    harness.restart_unlisted("r0");
-    harness.add_line("restarted");
+    let mut harness = with_restart();
     let gone = Change::Removed("r0".into());
     harness.polls_unanswered = true;
     harness.engine.update_runner(gone, harness.time());
