--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -291,14 +291,32 @@
         }
     }
 
+    /// Returns why the engine does not know a run that a runner reports.
+    fn foreign_reason(&self, row: &Running) -> &'static str {
+        let position = row.task.position;
+        let job = self
+            .job_index
+            .get(&row.task.job)
+            .map(|&job| &self.jobs[job]);
+        let task = job.and_then(|job| job.task(position.occurrence, position.step, position.index));
+        match task {
+            Some(task) if row.attempt <= task.attempt => "given-up",
+            Some(_) => "later-attempt",
+            None => "unknown-run",
+        }
+    }
+
     /// Stops a run that a runner reports and the engine does not know.
     fn stop_unknown_run(&mut self, key: runner::Key, row: &Running, now: Time) {
         let Some(target) = self.target(key) else {
             return;
         };
         let id = target.id.clone();
-        let note = Note::new(Kind::Foreign, "unknown-run", now);
-        self.note(note.with_task(row.task, row.attempt).with_place(&id));
+        // The age of the incarnation tells a start that arrived late from a run that was given up too early.
+        let born = Time::from_millis(self.runners[key].incarnation);
+        let note = Note::new(Kind::Foreign, self.foreign_reason(row), now);
+        let note = note.with_task(row.task, row.attempt).with_place(&id);
+        self.note(note.with_age(now.since(born)));
         self.orders.push(Order::Stop(Stop {
             target,
             run: None,
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -159,6 +159,8 @@
                 run.stop_ordered_at = None;
             }
             let job_key = run.task.job_key;
+            let moved = run.clone();
+            self.note_run(Kind::Moved, "reborn", &moved, now);
             self.runners[from].remove_run(key, &self.runs[key]);
             self.occupy(key, to, now);
             self.mark_dirty(job_key);
--- a/crates/schedule/src/note/note.rs
+++ b/crates/schedule/src/note/note.rs
@@ -55,7 +55,9 @@
     CrashEvidence = "crash-evidence";
     /// A run that a former leader started is alive.
     Adopted = "run-adopted";
-    /// A runner reports a run that the engine does not know; it is stopped.
+    /// A run whose start may reach, or may have reached, a later incarnation of its runner.
+    Moved = "run-moved";
+    /// A runner reports a run that the engine does not know, or has given up; it is stopped.
     Foreign = "run-foreign";
     /// A job counts as begun, since a runner has shown that it started a task.
     JobBegun = "job-begun";
