fix(schedule): store the incarnation that a run was ordered to

A run whose runner restarts before it has listed the run moves to the later incarnation, and the log had it there from then on. The next leader took it for a run that the later incarnation was asked to start: it counted no crash, and knew of no lease by the earlier clock. The log now names the incarnation that the run was ordered to until a later one lists the run.

--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -209,7 +209,9 @@
             match self.find_run(key, &row) {
                 Some(run) => {
                     listed.push(run);
-                    self.runs[run].listed |= names_incarnation;
+                    if names_incarnation {
+                        self.confirm_incarnation(run);
+                    }
                     self.handle_running(run, row, clock, sent, now);
                 }
                 None => self.stop_unknown_run(key, &row, now),
@@ -244,6 +246,18 @@
         }
     }
 
+    /// Records that the present incarnation of its runner has listed a run.
+    fn confirm_incarnation(&mut self, key: run::Key) {
+        let run = &mut self.runs[key];
+        run.listed = true;
+        let incarnation = self.runners[run.runner].incarnation;
+        if run.incarnation != incarnation {
+            run.incarnation = incarnation;
+            let job_key = run.task.job_key;
+            self.mark_dirty(job_key);
+        }
+    }
+
     /// Returns the run that a runner reports, if the engine knows it.
     fn find_run(&self, key: runner::Key, row: &Running) -> Option<run::Key> {
         let job_key = *self.job_index.get(&row.task.job)?;
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -138,6 +138,7 @@
             runner,
             listed: false,
             moved,
+            incarnation: assignment.incarnation,
             settled: assignment.settled,
             alive_at: Time::MIN,
             need,
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -50,6 +50,7 @@
         state.attempt = attempt;
         state.state = State::Active;
         let crashes = state.crashes;
+        let incarnation = self.runners[runner].incarnation;
         let key = self.runs.insert(Run {
             task,
             task_id,
@@ -57,6 +58,7 @@
             runner,
             listed: false,
             moved: false,
+            incarnation,
             settled: false,
             alive_at: Time::MIN,
             need,
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -183,7 +183,8 @@
             let runner = self.runners.get(run.runner)?;
             Some(Assignment {
                 runner: Arc::clone(&runner.id),
-                incarnation: runner.incarnation,
+                // A later leader has to know that the run may have been on an incarnation that has ended.
+                incarnation: run.incarnation,
                 host: Arc::clone(&runner.host),
                 attempt: run.attempt,
                 settled: run.settled,
--- a/crates/schedule/src/job/run.rs
+++ b/crates/schedule/src/job/run.rs
@@ -45,6 +45,8 @@
     pub listed: bool,
     /// Whether its start was ordered to an earlier incarnation of the runner.
     pub moved: bool,
+    /// Start of the incarnation that it was ordered to, or of the latest one that has listed it, in Unix milliseconds.
+    pub incarnation: u64,
     /// Whether the log has, or will have, that the run is not the cause if its runner ends.
     pub settled: bool,
     /// When the run was last known to be alive.
