fix(schedule): count the crash of a runner that began after its host was ordered

Incarnations that began after the order are not its effect. The runners of the engine's tests now begin at their Unix time, as real ones do.

--- a/crates/schedule/src/engine/crash.rs
+++ b/crates/schedule/src/engine/crash.rs
@@ -97,7 +97,7 @@
         let silent = self.suspicions.iter();
         let silent = silent.filter(|(_, suspicion)| suspicion::is_against(suspicion, runner));
         suspects.extend(silent.map(|(task, _)| *task));
-        let planned = self.was_ordered_away(&runner.host, now);
+        let planned = self.was_ordered_away(&runner.host, runner.incarnation, now);
         if suspects.is_empty() && (!runner.fenced || planned) {
             return;
         }
--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -217,7 +217,7 @@
         };
         // A former leader may have given the order while its run was still there.
         let inherited = is_inherited(run);
-        let ordered_away = inherited && self.was_ordered_away(&runner.host, now);
+        let ordered_away = inherited && self.was_ordered_away(&runner.host, run.incarnation, now);
         let suspected = !ordered_away && may_have_crashed(run, runner, loss);
         let cleared = has_outlived_trial(run, runner);
         let id = Arc::clone(&runner.id);
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -119,7 +119,9 @@
     /// Restores a run that may be alive, unless the incarnation of its runner is known to be over.
     fn restore_run(&mut self, task: TaskKey, assignment: &Assignment, now: Time) {
         let Some(runner) = self.find_runner(task, assignment, now) else {
-            if !assignment.settled && !self.was_ordered_away(&assignment.host, now) {
+            if !assignment.settled
+                && !self.was_ordered_away(&assignment.host, assignment.incarnation, now)
+            {
                 self.suspect_ended_runner(task, &assignment.runner);
             }
             return;
--- a/crates/schedule/src/engine/suspicion.rs
+++ b/crates/schedule/src/engine/suspicion.rs
@@ -80,12 +80,13 @@
         }
     }
 
-    /// Tells whether a former leader has ordered a host to move or to begin its maintenance, so that its runner may have
-    /// ended by that. Once the host is back, a task may have started on its next runner.
-    pub(super) fn was_ordered_away(&self, host: &str, now: Time) -> bool {
+    /// Tells whether a former leader has ordered a host to move or to begin its maintenance, so that an incarnation of its
+    /// runner may have ended by that. One that began later has not.
+    pub(super) fn was_ordered_away(&self, host: &str, incarnation: u64, now: Time) -> bool {
         let effect = self.rules.host_lease + self.rules.move_time;
         let ordered = self.fleet.former_orders.get(host);
-        ordered.is_some_and(|&at| now.since(at) < effect)
+        let began = Time::from_millis(incarnation);
+        ordered.is_some_and(|&at| now.since(at) < effect && began <= at)
     }
 
     /// Returns the suspicions against a task.
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -189,7 +189,7 @@
 
     /// Adds a runner on a new host.
     pub(crate) fn add_runner(&mut self, id: &str, pool: &str, rack: &str) {
-        let incarnation = 1 + self.runners.len() as u64;
+        let incarnation = self.time().as_millis();
         let listed = Listed {
             id: id.into(),
             incarnation,
@@ -292,7 +292,7 @@
 
     /// Restarts a runner under its name. The engine does not read the service list.
     pub(crate) fn restart_unlisted(&mut self, id: &str) {
-        let incarnation = self.runners[id].listed.incarnation + 100;
+        let incarnation = self.later_incarnation(id, Duration::ZERO);
         let worker = self.worker(id, incarnation);
         let runner = self.runners.get_mut(id).expect("the runner exists");
         runner.worker.terminate(self.now);
@@ -300,6 +300,12 @@
         runner.worker = worker;
     }
 
+    /// Returns the number of an incarnation of a runner that begins `after` from now.
+    fn later_incarnation(&self, id: &str, after: Duration) -> u64 {
+        let begins = (self.time() + after).as_millis();
+        begins.max(self.runners[id].listed.incarnation + 1)
+    }
+
     /// Returns a new incarnation of a runner.
     fn worker(&self, id: &str, incarnation: u64) -> Worker {
         let mut worker = Worker::new(id, incarnation, 64, 1_000, self.now);
@@ -424,6 +430,7 @@
         let Some(id) = runner.map(|(id, _)| id.clone()) else {
             return;
         };
+        let incarnation = self.later_incarnation(&id, self.hosts.move_time);
         let mut runner = self.runners.remove(&id).expect("it was just found");
         for run in &runner.worker.runs {
             let text = format!("killed {} at {id}", &run.task[17..]);
@@ -434,7 +441,7 @@
             runner.listed.pool = pool.into();
         }
         self.replacements += 1;
-        runner.listed.incarnation += 100;
+        runner.listed.incarnation = incarnation;
         runner.listed.id = format!("{id}+").into();
         self.runners.insert(format!("{id}+"), runner);
         self.engine
