fix(schedule): give orders a fence that grows with each incarnation of a runner

Callers saw a task that ran twice at once after its runner had restarted under its id. The name of a runner does not tell its incarnations apart, and the fence was the epoch of the leader, so an order that was made for an earlier incarnation and arrived late took effect at the later one: a start ran beside a later attempt, a poll renewed the lease by the earlier clock or acknowledged ends that no leader had seen.

The fence is now made of the epoch and of a generation, which grows with each incarnation that the leader knows under the name. From the first answer of an incarnation on, orders for earlier ones are rejected, whoever sent them and however late. Such a rejection no longer ends the lead.

Four new tests of reborn failed before.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,5 +1,6 @@
-//! Basic types shared by all crates: time, names, arena keys, request outcomes and stable hashes.
+//! Basic types shared by all crates: time, epochs, names, arena keys, request outcomes and stable hashes.
 
+pub mod epoch;
 pub mod fault;
 pub mod hash;
 pub mod key;
--- a/crates/control/src/drive/delegate.rs
+++ b/crates/control/src/drive/delegate.rs
@@ -290,6 +290,7 @@
         Some(match self.order.content() {
             Order::Start(start) => Report::Start {
                 run: start.run,
+                runner: start.target.runner,
                 answer: done(result),
             },
             Order::Stop(stop) => Report::Stop {
--- a/crates/control/src/drive/drive.rs
+++ b/crates/control/src/drive/drive.rs
@@ -212,6 +212,7 @@
                 });
                 Report::Start {
                     run: start.run,
+                    runner: start.target.runner,
                     answer: answer(sent, clock, result),
                 }
             }
--- a/crates/control/tests/lead.rs
+++ b/crates/control/tests/lead.rs
@@ -224,6 +224,7 @@
                 self.starts.push((self.now, target.id.to_string()));
                 Some(Report::Start {
                     run: start.run,
+                    runner: start.target.runner,
                     answer: self.answer(()),
                 })
             }
--- a/crates/control/tests/reports.rs
+++ b/crates/control/tests/reports.rs
@@ -260,6 +260,7 @@
         let report = match order.content() {
             Order::Start(start) => Report::Start {
                 run: start.run,
+                runner: start.target.runner,
                 answer: Answer {
                     fault: None,
                     sent,
--- a/crates/control/tests/simulation/order.rs
+++ b/crates/control/tests/simulation/order.rs
@@ -132,6 +132,7 @@
                 }
                 Report::Start {
                     run: start.run,
+                    runner: start.target.runner,
                     answer: answer(result.map_err(refusal)),
                 }
             }
@@ -202,6 +203,7 @@
     match order {
         Order::Start(start) => Report::Start {
             run: start.run,
+            runner: start.target.runner,
             answer: Answer {
                 fault: None,
                 sent,
--- a/crates/control/tests/stale/site.rs
+++ b/crates/control/tests/stale/site.rs
@@ -309,6 +309,7 @@
                 self.running.push((running, self.now));
                 Some(Report::Start {
                     run: start.run,
+                    runner: start.target.runner,
                     answer: self.answer(()),
                 })
             }
--- a/crates/lead/src/election/election.rs
+++ b/crates/lead/src/election/election.rs
@@ -4,11 +4,10 @@
     Timing,
     timing::REPLACE_RATIO, //
 };
-use sassafrascrank_base::prelude::*;
-
-/// Number of low bits of an epoch that come from the identity of the entry, so that two claims in the same round rarely
-/// have the same epoch. If they do, the entry whose claim the log holds leads; see [`Election::observe`].
-const TIE_BREAK_BITS: u32 = 16;
+use sassafrascrank_base::{
+    epoch,
+    prelude::*, //
+};
 
 /// Capacity of a whole core in thousandths of a core.
 const WHOLE_CORE: u32 = 1_000;
@@ -239,12 +238,8 @@
             Some(since) if now < since + self.refresh_wait(rank) => return Claim::Wait,
             Some(_) => self.due_since = None,
         }
-        let round = self
-            .latest
-            .map_or(0, |leader| leader.epoch >> TIE_BREAK_BITS)
-            + 1;
-        let tie_break = self.identity & ((1 << TIE_BREAK_BITS) - 1);
-        let epoch = (round << TIE_BREAK_BITS) | tie_break;
+        let latest = self.latest.map(|leader| leader.epoch);
+        let epoch = epoch::next(latest, self.identity);
         self.role = Role::Candidate { epoch };
         Claim::Append(epoch)
     }
--- a/crates/lead/tests/election.rs
+++ b/crates/lead/tests/election.rs
@@ -1,6 +1,9 @@
 //! When entries that read the same log claim the lead.
 
-use sassafrascrank_base::prelude::*;
+use sassafrascrank_base::{
+    epoch,
+    prelude::*, //
+};
 use sassafrascrank_lead::{
     Election, Timing,
     election::{
@@ -16,6 +19,13 @@
 /// Time between two reads of the log.
 const READ_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Returns the epoch of the claim with this number.
+fn claimed(number: u64) -> u64 {
+    (1..number).fold(epoch::next(None, 0), |latest, _| {
+        epoch::next(Some(latest), 0)
+    })
+}
+
 fn record(epoch: u64, capacity: u32) -> Observation {
     Observation {
         epoch,
@@ -64,7 +74,7 @@
             if now < death {
                 let leader = Observation {
                     behind: behind && now >= START + Duration::from_secs(4),
-                    ..record(1 << 16, 250)
+                    ..record(claimed(1), 250)
                 };
                 election.observe(leader, now);
             }
@@ -109,31 +119,31 @@
         (
             "small leader, large entry",
             500,
-            Some(record(1 << 16, 120)),
+            Some(record(claimed(1), 120)),
             forever,
         ),
         (
             "large leader, small entry",
             120,
-            Some(record(1 << 16, 500)),
+            Some(record(claimed(1), 500)),
             forever,
         ),
         (
             "leader of the same size",
             250,
-            Some(record(1 << 16, 250)),
+            Some(record(claimed(1), 250)),
             forever,
         ),
         (
             "leader of unknown size",
             250,
-            Some(record(1 << 16, 0)),
+            Some(record(claimed(1), 0)),
             forever,
         ),
         (
             "silent leader of the same size",
             250,
-            Some(record(1 << 16, 250)),
+            Some(record(claimed(1), 250)),
             brief,
         ),
     ] {
@@ -157,11 +167,11 @@
         panic!("nobody else claims");
     };
     small.claim_confirmed(epoch, START);
-    assert!(small.observe(record(2 << 16, 500), START + READ_INTERVAL));
+    assert!(small.observe(record(claimed(2), 500), START + READ_INTERVAL));
     for step in 1..200 {
         let now = now + READ_INTERVAL * step;
         small.record_read(true, now, now);
-        small.observe(record(2 << 16, 500), now);
+        small.observe(record(claimed(2), 500), now);
         assert_eq!(
             small.claim(Rank::Unknown, now),
             Claim::Wait,
@@ -177,12 +187,12 @@
     let mut election = Election::new(Timing::default(), 0, 250, START);
     let resigned = Observation {
         resigned: true,
-        ..record(1 << 16, 250)
+        ..record(claimed(1), 250)
     };
     election.record_read(true, START, START);
     election.observe(resigned, START);
     assert_eq!(election.claim(Rank::Unknown, START), Claim::Refresh);
-    election.observe(record(2 << 16, 250), START + READ_INTERVAL / 5);
+    election.observe(record(claimed(2), 250), START + READ_INTERVAL / 5);
     election.record_read(true, START, START + READ_INTERVAL / 5);
     assert_eq!(
         election.claim(Rank::Unknown, START + READ_INTERVAL),
@@ -196,9 +206,9 @@
 fn records_from_before_an_outage_do_not_prove_a_live_leader() {
     let mut election = Election::new(Timing::default(), 0, 250, START);
     election.record_read(true, START, START);
-    election.observe(record(1 << 16, 250), START);
+    election.observe(record(claimed(1), 250), START);
     let back = START + Duration::from_secs(6);
-    election.observe(record(1 << 16, 250), back);
+    election.observe(record(claimed(1), 250), back);
     let mut now = back;
     let mut claim = Claim::Wait;
     while !matches!(claim, Claim::Append(_)) {
@@ -219,17 +229,17 @@
 fn rejected_claim_is_not_repeated_at_once() {
     let resigned = Observation {
         resigned: true,
-        ..record(1 << 16, 250)
+        ..record(claimed(1), 250)
     };
     let earlier_incarnation = Observation {
         writer: Writer::EarlierIncarnation,
-        ..record(1 << 16, 250)
+        ..record(claimed(1), 250)
     };
     let mut table = String::new();
     for (name, leader) in [
         ("after a resignation", resigned),
         ("after a restart", earlier_incarnation),
-        ("much smaller leader", record(1 << 16, 60)),
+        ("much smaller leader", record(claimed(1), 60)),
     ] {
         let mut election = Election::new(Timing::default(), 0, 250, START);
         let mut now = START;
@@ -310,7 +320,7 @@
             let succeeds = after == 0 || !after.is_multiple_of(fails_every);
             election.record_read(succeeds, now, now);
             if after <= silent_at {
-                election.observe(record(1 << 16, 1_000), now);
+                election.observe(record(claimed(1), 1_000), now);
             }
             if let Claim::Append(_) = election.claim(rank, now) {
                 break after - silent_at;
--- a/crates/schedule/examples/scale.rs
+++ b/crates/schedule/examples/scale.rs
@@ -105,6 +105,7 @@
         let report = match order.content() {
             Order::Start(start) => Report::Start {
                 run: start.run,
+                runner: start.target.runner,
                 answer: done(now, ()),
             },
             Order::Poll(poll) => Report::Poll {
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -24,6 +24,7 @@
     },
     runner::{
         self,
+        Former,
         Runner, //
     },
 };
@@ -80,10 +81,12 @@
     pub(super) pool_index: HashMap<Arc<str>, key::Pool>,
     pub(super) runners: SlotMap<runner::Key, Runner>,
     pub(super) runner_index: HashMap<Arc<str>, runner::Key>,
-    /// For the names of runners, the latest time at which a lease can end that an incarnation has granted to orders for an
-    /// earlier one.
-    pub(super) earlier_leases: HashMap<Arc<str>, Time>,
-    /// Those of these times that the log lacks.
+    /// Removed incarnations of runners by their names.
+    pub(super) formers: HashMap<Arc<str>, Former>,
+    /// Highest generation of an incarnation that was removed and forgotten. It may still be alive, so orders under its name
+    /// have no lower one.
+    pub(super) forgotten_generation: u16,
+    /// Bounds of leases by the clocks of earlier incarnations that the log lacks.
     pub(super) unstored_leases: Vec<record::Lease>,
     pub(super) jobs: SlotMap<job::Key, ActiveJob>,
     pub(super) job_index: HashMap<Id, job::Key>,
@@ -122,6 +125,10 @@
 impl Engine {
     /// Creates the engine of a new leader, without jobs and runners.
     pub fn new(rules: Rules, takeover: Takeover, config: &Config, now: Time) -> Self {
+        let formers = takeover.leases.into_iter();
+        let formers = formers
+            .filter(|(_, lease_until)| *lease_until > now)
+            .map(|(id, lease_until)| (id, Former::of_former_leader(lease_until, now)));
         let mut engine = Self {
             rules,
             epoch: takeover.epoch,
@@ -132,7 +139,8 @@
             pool_index: HashMap::new(),
             runners: SlotMap::with_key(),
             runner_index: HashMap::new(),
-            earlier_leases: takeover.leases,
+            formers: formers.collect(),
+            forgotten_generation: 0,
             unstored_leases: Vec::new(),
             jobs: SlotMap::with_key(),
             job_index: HashMap::new(),
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -42,7 +42,11 @@
             }
         };
         match report {
-            Report::Start { run, answer } => self.handle_start(run, answer, now),
+            Report::Start {
+                run,
+                runner,
+                answer,
+            } => self.handle_start(run, runner, answer, now),
             Report::Stop {
                 run,
                 runner,
@@ -68,7 +72,14 @@
         }
     }
 
-    fn handle_start(&mut self, key: run::Key, answer: Answer<()>, now: Time) {
+    /// Handles the answer to a start that was ordered to `ordered_to`, which may have restarted since.
+    fn handle_start(
+        &mut self,
+        key: run::Key,
+        ordered_to: runner::Key,
+        answer: Answer<()>,
+        now: Time,
+    ) {
         let repeats = self
             .runs
             .get(key)
@@ -79,8 +90,9 @@
         let runner_key = run.runner;
         let task = run.task;
         let stopping = run.stage == Stage::Stopping;
+        let restarted = runner_key != ordered_to;
         // The clock may be that of an earlier incarnation.
-        let clock = answer.clock.filter(|_| !run.moved);
+        let clock = answer.clock.filter(|_| !restarted);
         match answer.result {
             Ok(()) => {
                 run.started = Some(now);
@@ -98,9 +110,16 @@
                 self.read_clock(runner_key, clock, now);
                 self.poll_soon(runner_key, now);
             }
-            Err(Failure::Fenced) => self.superseded = true,
+            Err(Failure::Fenced) if !restarted => self.superseded = true,
+            // The later incarnation rejects this copy. An earlier one that got no answer may have been carried out.
+            Err(Failure::Fenced) if repeats => self.doubt_start(key, Failure::Fenced, now),
+            Err(Failure::Fenced) => {
+                let run = run.clone();
+                self.note_run(Kind::StartUnknown, "fenced", &run, now);
+                self.stop(key, "start-unknown", now);
+            }
             // The answer says nothing about the later incarnation, which may have another address.
-            Err(Failure::Replaced) if run.moved => self.abandon(key, now),
+            Err(Failure::Replaced) if restarted => self.abandon(key, now),
             Err(Failure::Replaced) => self.end_incarnation(runner_key, Loss::Replaced, now),
             Err(Failure::StaleAttempt) if run.doubt.is_some() => {
                 // The run has ended; its end is in the answer to a poll.
@@ -178,7 +197,8 @@
                 }
                 self.poll_soon(runner_key, now);
             }
-            Err(Failure::Fenced) => self.superseded = true,
+            // The fence of a runner that has restarted since is higher although the leader is the same.
+            Err(Failure::Fenced) if self.runners.contains_key(runner_key) => self.superseded = true,
             Err(Failure::Replaced) => self.end_incarnation(runner_key, Loss::Replaced, now),
             // The stop is ordered again, and a poll finds out whether the runner answers at all.
             Err(_) => self.poll_soon(runner_key, now),
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -24,7 +24,10 @@
     },
     runner,
 };
-use sassafrascrank_base::prelude::*;
+use sassafrascrank_base::{
+    epoch,
+    prelude::*, //
+};
 use sassafrascrank_job::id;
 use std::sync::Arc;
 
@@ -180,7 +183,7 @@
             id: Arc::clone(&runner.id),
             zone: Arc::clone(&runner.zone),
             address: runner.address?,
-            fence: self.epoch,
+            fence: epoch::fence(self.epoch, runner.generation),
         })
     }
 
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -18,6 +18,7 @@
     runner::{
         self,
         Change,
+        Former,
         Listed,
         Runner, //
     },
@@ -25,6 +26,10 @@
 use sassafrascrank_base::prelude::*;
 use sassafrascrank_job::record;
 
+/// Time for which a removed incarnation of a runner is kept. An order for it that is carried out later than that may not be
+/// told from one for a later incarnation; the users' platform carries out orders seconds late.
+const FORMER_RETENTION: Duration = Duration::from_secs(60);
+
 impl Engine {
     /// Applies a change of the service list.
     pub fn update_runner(&mut self, change: Change, now: Time) {
@@ -96,9 +101,14 @@
             self.move_runs(former, key, now);
             self.end_incarnation(former, Loss::Reborn, now);
         }
-        if let Some(&until) = self.earlier_leases.get(&id) {
+        let former = self.formers.get(&id).copied();
+        self.runners[key].generation = match former {
+            Some(former) => former.next_generation(),
+            None => self.forgotten_generation,
+        };
+        if let Some(former) = former {
             let longest = self.rules.longest_lease_expiry(now);
-            self.extend_earlier_lease(key, until.min(longest), now);
+            self.extend_earlier_lease(key, former.lease_until.min(longest), now);
         }
         self.runner_index.insert(id, key);
         self.confirm_crashes(key, now);
@@ -220,7 +230,7 @@
         let Some(runner) = self.runners.remove(key) else {
             return;
         };
-        self.keep_lease(&runner, now);
+        self.keep_former(&runner, now);
         self.pools[runner.pool]
             .runners
             .retain(|&other| other != key);
@@ -250,13 +260,15 @@
         });
     }
 
-    /// Keeps until when leases may last that a later incarnation of a removed runner has granted to orders for this one.
-    fn keep_lease(&mut self, removed: &Runner, now: Time) {
-        self.earlier_leases.retain(|_, until| *until > now);
-        let own = self.rules.longest_lease_expiry(removed.lease_ordered_at);
-        let until = own.max(removed.earlier_lease_until);
-        if until > now {
-            self.earlier_leases.insert(removed.id.clone(), until);
+    /// Keeps what a later incarnation has to know of a removed runner.
+    fn keep_former(&mut self, removed: &Runner, now: Time) {
+        let former = Former::new(removed, &self.rules, now);
+        self.formers.insert(removed.id.clone(), former);
+        let is_kept = |former: &Former| {
+            now < former.lease_until || now.since(former.removed) < FORMER_RETENTION
+        };
+        for (_, forgotten) in self.formers.extract_if(|_, former| !is_kept(former)) {
+            self.forgotten_generation = self.forgotten_generation.max(forgotten.generation);
         }
     }
 
--- a/crates/schedule/src/order/order.rs
+++ b/crates/schedule/src/order/order.rs
@@ -24,7 +24,7 @@
     pub zone: Arc<str>,
     /// Address for orders.
     pub address: SocketAddr,
-    /// Epoch of the leader. Runners reject orders with a lower one than they have seen.
+    /// Fence of the leader for this incarnation. Runners reject orders with a lower one than they have seen.
     pub fence: u64,
 }
 
--- a/crates/schedule/src/order/report.rs
+++ b/crates/schedule/src/order/report.rs
@@ -179,6 +179,8 @@
     Start {
         /// Key of the run.
         run: run::Key,
+        /// The runner.
+        runner: runner::Key,
         /// The answer.
         answer: Answer<()>,
     },
--- /dev/null
+++ b/crates/schedule/src/runner/former.rs
@@ -0,0 +1,50 @@
+//! What is kept of an incarnation of a runner that has ended or was removed.
+
+use super::Runner;
+use crate::Rules;
+use sassafrascrank_base::{
+    epoch::MAX_GENERATION,
+    prelude::*, //
+};
+
+/// What is kept of an incarnation of a runner that has ended or was removed, for the next one that is known by its name.
+#[derive(Clone, Copy, Debug)]
+pub struct Former {
+    /// Generation of the incarnation.
+    pub generation: u16,
+    /// Latest time at which a lease can end that a later incarnation has granted to orders for this one; in the past if there
+    /// is none.
+    pub lease_until: Time,
+    /// When it was removed.
+    pub removed: Time,
+}
+
+impl Former {
+    /// Returns what the next incarnation has to know of a runner.
+    pub fn new(runner: &Runner, rules: &Rules, now: Time) -> Self {
+        let own = rules.longest_lease_expiry(runner.lease_ordered_at);
+        Self {
+            generation: runner.generation,
+            lease_until: own.max(runner.earlier_lease_until),
+            removed: now,
+        }
+    }
+
+    /// Returns what is known of an incarnation that was restarted in the time of a former leader.
+    pub const fn of_former_leader(lease_until: Time, now: Time) -> Self {
+        Self {
+            generation: 0,
+            lease_until,
+            removed: now,
+        }
+    }
+
+    /// Returns the generation of the next incarnation, which may be the same one if it was only removed.
+    pub const fn next_generation(self) -> u16 {
+        if self.generation < MAX_GENERATION {
+            self.generation + 1
+        } else {
+            MAX_GENERATION
+        }
+    }
+}
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -31,6 +31,8 @@
     pub id: Arc<str>,
     /// Start of this incarnation, in Unix milliseconds.
     pub incarnation: u64,
+    /// Number of earlier incarnations of this name that this leader has known, or a higher one; see [`Former`](super::Former).
+    pub generation: u16,
     /// Host on which it runs.
     pub host: Arc<str>,
     /// Pool that the runner belongs to.
@@ -153,6 +155,7 @@
         Self {
             id,
             incarnation,
+            generation: 0,
             host: Arc::clone(&nothing),
             pool,
             address: None,
--- a/crates/schedule/tests/engine/harness/execute.rs
+++ b/crates/schedule/tests/engine/harness/execute.rs
@@ -34,7 +34,7 @@
 impl Harness {
     /// Executes an order and reports its result to the engine.
     pub(super) fn execute(&mut self, order: Envelope<Order>) {
-        if let Some((report, after)) = self.faults.fail(order.content(), self.time()) {
+        if let Some((report, after)) = self.faults.fail(&order, self.time()) {
             self.deliver(order.reply(report), after);
             return;
         }
@@ -112,7 +112,7 @@
         }
     }
 
-    fn start(&mut self, start: &order::Start) -> Report {
+    pub(super) fn start(&mut self, start: &order::Start) -> Report {
         let now = self.now;
         let slowdown = self.slowdown.get(&*start.target.id).copied().unwrap_or(1);
         let order = Start {
@@ -133,6 +133,7 @@
         self.add_run_line("start", &start.task, start.attempt, &start.target, &answer);
         Report::Start {
             run: start.run,
+            runner: start.target.runner,
             answer,
         }
     }
@@ -154,7 +155,7 @@
         }
     }
 
-    fn poll(&mut self, poll: &order::Poll) -> Report {
+    pub(super) fn poll(&mut self, poll: &order::Poll) -> Report {
         let now = self.now;
         let load = self.load.clone();
         let hide_progress = self.hide_progress;
--- a/crates/schedule/tests/engine/harness/fault.rs
+++ b/crates/schedule/tests/engine/harness/fault.rs
@@ -44,6 +44,10 @@
     pub(crate) planned: Vec<Planned>,
     /// Whether runners hold polls open for as long as they may. The lists are those of the beginning.
     pub(crate) hold_polls: bool,
+    /// Kind of the order that is held up on its way, so that it gets no answer.
+    pub(crate) hold: Option<&'static str>,
+    /// Orders that are held up, until [`Harness::arrive`].
+    pub(super) held: Vec<Envelope<Order>>,
     /// What the engine has noted of lost runners.
     pub(crate) notes: Vec<String>,
     delayed: Vec<(Duration, Envelope<Report>)>,
@@ -51,7 +55,12 @@
 
 impl Faults {
     /// Returns the failure of an order, if one is planned, and the time until the engine learns it.
-    pub(super) fn fail(&mut self, order: &Order, sent: Time) -> Option<(Report, Duration)> {
+    pub(super) fn fail(
+        &mut self,
+        envelope: &Envelope<Order>,
+        sent: Time,
+    ) -> Option<(Report, Duration)> {
+        let order = envelope.content();
         let (call, target) = match order {
             Order::Start(start) => ("start", &start.target),
             Order::Stop(stop) => ("stop", &stop.target),
@@ -60,9 +69,15 @@
         };
         let matches =
             |plan: &&mut Planned| plan.count > 0 && plan.call == call && *plan.id == *target.id;
-        let plan = self.planned.iter_mut().find(matches)?;
-        plan.count -= 1;
-        let (failure, cause, after) = (plan.failure, plan.cause, plan.after);
+        let (failure, cause, after) = if self.hold == Some(call) {
+            self.hold = None;
+            self.held.push(envelope.clone());
+            (Failure::Unknown, Cause::Timeout, Duration::ZERO)
+        } else {
+            let plan = self.planned.iter_mut().find(matches)?;
+            plan.count -= 1;
+            (plan.failure, plan.cause, plan.after)
+        };
         fn failed<T>(sent: Time, failure: Failure, cause: Cause) -> Answer<T> {
             Answer {
                 fault: Some(Fault {
@@ -81,6 +96,7 @@
         let report = match order {
             Order::Start(start) => Report::Start {
                 run: start.run,
+                runner: start.target.runner,
                 answer: failed(sent, failure, cause),
             },
             Order::Stop(stop) => Report::Stop {
@@ -141,6 +157,17 @@
 }
 
 impl Harness {
+    /// Lets the orders that were held up arrive. Their answers are lost.
+    pub(crate) fn arrive(&mut self) {
+        for order in core::mem::take(&mut self.faults.held) {
+            match order.content() {
+                Order::Start(start) => drop(self.start(start)),
+                Order::Poll(poll) => drop(self.poll(poll)),
+                other => panic!("{other:?} can't be held up"),
+            }
+        }
+    }
+
     /// Reports the result of an order to the engine, at once or after `delay`.
     pub(super) fn deliver(&mut self, report: Envelope<Report>, delay: Duration) {
         if !delay.is_zero() {
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -10,7 +10,10 @@
     },
 };
 use core::net::SocketAddr;
-use sassafrascrank_base::prelude::*;
+use sassafrascrank_base::{
+    epoch,
+    prelude::*, //
+};
 use sassafrascrank_job::{
     prelude::*,
     record, //
@@ -52,8 +55,10 @@
     sync::Arc,
 };
 
+/// Identity of the entry that leads.
+pub(super) const ENTRY: u64 = 7;
 /// Epoch of the first leader.
-const FIRST_EPOCH: u64 = 7;
+const FIRST_EPOCH: u64 = epoch::next(None, ENTRY);
 /// Time between two ticks of the engine.
 const TICK: Duration = Duration::from_millis(20);
 
--- a/crates/schedule/tests/engine/harness/takeover.rs
+++ b/crates/schedule/tests/engine/harness/takeover.rs
@@ -2,9 +2,13 @@
 
 use super::{
     Harness,
-    fixture::config, //
+    fixture::config,
+    harness::ENTRY, //
+};
+use sassafrascrank_base::{
+    epoch,
+    prelude::*, //
 };
-use sassafrascrank_base::prelude::*;
 use sassafrascrank_schedule::{
     engine::{
         Engine,
@@ -47,7 +51,7 @@
     /// Replaces the engine by that of a new leader. Former leaders may give orders until `ordered`.
     fn replace_engine(&mut self, list: Vec<Listed>, ordered: Time) {
         let now = self.time();
-        self.epoch += 1;
+        self.epoch = epoch::next(Some(self.epoch), ENTRY);
         let takeover = Takeover {
             epoch: self.epoch,
             runs_until: self.rules.lease_expiry(ordered),
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -10,6 +10,10 @@
     fault::Cause,
     prelude::*, //
 };
+use sassafrascrank_job::{
+    Id,
+    progress::Outcome, //
+};
 use sassafrascrank_schedule::{
     config::Rules,
     order::report::Failure,
@@ -187,3 +191,104 @@
     harness.run_ms(2_000);
     insta::assert_snapshot!(harness.timeline());
 }
+
+/// Guards against a start for an earlier incarnation that the later one carries out, beside a later attempt.
+#[test]
+fn start_for_an_earlier_incarnation_is_rejected() {
+    let mut harness = Harness::new(2, 1);
+    harness.task_duration = |_| Some(Duration::from_secs(20));
+    harness.run_ms(100);
+    harness.faults.hold = Some("start");
+    harness.submit(1, vec![step(1)]);
+    harness.decide();
+    harness.unreachable.insert("r0".to_owned());
+    harness.run_ms(4_000);
+    harness.restart_runner("r0");
+    harness.unreachable.clear();
+    harness.add_line("restarted");
+    harness.run_ms(400);
+    harness.arrive();
+    harness.run_ms(200);
+    assert_eq!(harness.overlaps(), 0, "{}", harness.timeline());
+    insta::assert_snapshot!(harness.timeline());
+}
+
+/// Guards against a poll for an earlier incarnation that gives the later one a lease by the clock of the earlier one, seconds
+/// after the leader has reckoned with it.
+#[test]
+fn poll_for_an_earlier_incarnation_renews_no_lease() {
+    let mut harness = with_old_runner();
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(1_000);
+    harness.faults.hold = Some("poll");
+    harness.run_ms(100);
+    harness.restart_runner("r0");
+    harness.add_line("restarted");
+    harness.run_ms(8_000);
+    harness.arrive();
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "poll_for_an_earlier_incarnation_renews_no_lease",
+    );
+}
+
+/// Guards against a task that starts again after it was done: a poll for an earlier incarnation acknowledges an end of the later
+/// one that no leader has seen.
+#[test]
+fn poll_for_an_earlier_incarnation_acknowledges_no_end() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| Some(Duration::from_millis(100));
+    harness.submit(1, vec![step(1)]);
+    while harness.runners["r0"].worker.ends.is_empty() {
+        harness.run_ms(20);
+    }
+    // The next poll acknowledges the end.
+    harness.faults.hold = Some("poll");
+    harness.run_ms(100);
+    harness.restart_runner("r0");
+    harness.add_line("restarted");
+    harness.submit(2, vec![step(1)]);
+    harness.run_ms(80);
+    harness.polls_unanswered = true;
+    while harness.runners["r0"].worker.ends.is_empty() {
+        harness.run_ms(20);
+    }
+    harness.arrive();
+    harness.polls_unanswered = false;
+    harness.run_ms(2_000);
+    insta::assert_snapshot!(harness.timeline());
+}
+
+/// Guards against a leader that takes the rejection of an order for an earlier incarnation for that of a later leader, and gives
+/// up the lead.
+#[test]
+fn rejected_order_for_an_earlier_incarnation_does_not_end_the_lead() {
+    for call in ["start", "poll", "stop"] {
+        let mut harness = Harness::new(1, 1);
+        harness.task_duration = |_| Some(Duration::from_secs(2));
+        harness.faults.planned.push(Planned {
+            id: "r0",
+            call,
+            count: 1,
+            failure: Failure::Fenced,
+            cause: Cause::Status,
+            after: Duration::from_millis(300),
+        });
+        harness.submit(1, vec![step(1)]);
+        harness.run_ms(60);
+        harness.engine.cancel(Id(1), harness.time());
+        harness.submit(2, vec![step(1)]);
+        harness.run_ms(60);
+        harness.restart_runner("r0");
+        harness.run_ms(4_000);
+        assert!(!harness.engine.is_superseded(), "{call}");
+        let outcome = harness.stored_progress[&Id(2)].outcome;
+        assert_eq!(
+            outcome,
+            Some(Outcome::Done),
+            "{call}: {}",
+            harness.timeline()
+        );
+    }
+}
