fix(schedule): reckon the lease of a late order from the first answer

A restarted runner carries out orders for its earlier incarnation until it has answered the leader, and then rejects them. A task whose runner was cut off after a late poll started elsewhere while it ran.

The bound is now set when the runner first answers: no order for an earlier incarnation takes effect later. It costs the tasks of a restarted runner that falls silent within its longest lease after that answer a wait for as long; other runners are waited for as before.

lease_of_a_late_poll_is_reckoned_from_the_first_answer failed before.

--- a/crates/schedule/src/config/rules.rs
+++ b/crates/schedule/src/config/rules.rs
@@ -81,6 +81,11 @@
         self.expiry(self.lease_limit, ordered + self.order_limit)
     }
 
+    /// Returns the time by which every lease has ended that a runner had granted by `granted`.
+    pub fn granted_lease_expiry(&self, granted: Time) -> Time {
+        self.expiry(self.lease_limit, granted)
+    }
+
     fn expiry(&self, lease: Duration, ordered: Time) -> Time {
         let rate = 1.0 - f64::from(self.drift_permille) / 1_000.0;
         ordered + lease.div_f64(rate) + self.margin
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -359,6 +359,12 @@
     fn mark_reachable(&mut self, key: runner::Key, now: Time) {
         let runner = &mut self.runners[key];
         runner.fenced = true;
+        if core::mem::take(&mut runner.accepts_earlier_orders) {
+            // Such an order may have arrived until now.
+            let until = self.rules.granted_lease_expiry(now);
+            self.extend_earlier_lease(key, until, now);
+        }
+        let runner = &mut self.runners[key];
         if runner.misses > 0 {
             runner.misses = 0;
             let (id, left_out) = (runner.id.clone(), now.since(runner.lost_at));
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -185,6 +185,7 @@
         {
             if assignment.incarnation < self.runners[key].incarnation {
                 let until = self.rules.longest_lease_expiry(now);
+                self.runners[key].accepts_earlier_orders = true;
                 self.extend_earlier_lease(key, until, now);
             }
             return Some(key);
--- a/crates/schedule/src/runner/former.rs
+++ b/crates/schedule/src/runner/former.rs
@@ -10,8 +10,14 @@
 /// What is kept of an incarnation of a runner that has ended or was removed, for the next one that is known by its name.
 #[derive(Clone, Copy, Debug)]
 pub struct Former {
+    /// Start of the incarnation, in Unix milliseconds.
+    incarnation: u64,
     /// Generation of the incarnation.
     pub generation: u16,
+    /// Whether it was asked for a lease.
+    leased: bool,
+    /// Whether it may carry out orders for an earlier incarnation that ask for a lease.
+    accepts_earlier_orders: bool,
     /// Latest time at which a lease can end that a later incarnation has granted to orders for this one; in the past if there
     /// is none.
     pub lease_until: Time,
@@ -24,7 +30,10 @@
     pub fn new(runner: &Runner, rules: &Rules, now: Time) -> Self {
         let own = rules.longest_lease_expiry(runner.lease_ordered_at);
         Self {
+            incarnation: runner.incarnation,
             generation: runner.generation,
+            leased: runner.lease_ordered_at > Time::MIN,
+            accepts_earlier_orders: runner.accepts_earlier_orders,
             lease_until: own.max(runner.earlier_lease_until),
             removed: now,
         }
@@ -33,7 +42,10 @@
     /// Returns what is known of an incarnation that was restarted in the time of a former leader.
     pub const fn of_former_leader(lease_until: Time, now: Time) -> Self {
         Self {
+            incarnation: 0,
             generation: 0,
+            leased: true,
+            accepts_earlier_orders: true,
             lease_until,
             removed: now,
         }
@@ -47,4 +59,9 @@
             MAX_GENERATION
         }
     }
+
+    /// Returns whether an incarnation may carry out orders for an earlier one that ask for a lease.
+    pub const fn may_reach(self, incarnation: u64) -> bool {
+        self.accepts_earlier_orders || (self.leased && incarnation > self.incarnation)
+    }
 }
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -33,6 +33,8 @@
     pub incarnation: u64,
     /// Number of earlier incarnations of this name that this leader has known, or a higher one; see [`Former`](super::Former).
     pub generation: u16,
+    /// Whether it may carry out orders for an earlier incarnation that ask for a lease. It rejects them once it has answered.
+    pub accepts_earlier_orders: bool,
     /// Host on which it runs.
     pub host: Arc<str>,
     /// Pool that the runner belongs to.
@@ -156,6 +158,7 @@
             id,
             incarnation,
             generation: 0,
+            accepts_earlier_orders: false,
             host: Arc::clone(&nothing),
             pool,
             address: None,
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -233,6 +233,30 @@
     );
 }
 
+/// Guards against a lease that a poll for an earlier incarnation gives to the later one seconds after it was sent, before that has
+/// answered anybody.
+#[test]
+fn lease_of_a_late_poll_is_reckoned_from_the_first_answer() {
+    let mut harness = with_old_runner();
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(1_000);
+    harness.faults.hold = Some("poll");
+    harness.run_ms(100);
+    harness.unreachable.insert("r0".to_owned());
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.run_ms(6_000);
+    harness.unreachable.clear();
+    harness.arrive();
+    harness.list_runners();
+    harness.run_ms(200);
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "lease_of_a_late_poll_is_reckoned_from_the_first_answer",
+    );
+}
+
 /// Guards against a task that starts again after it was done: a poll for an earlier incarnation acknowledges an end of the later
 /// one that no leader has seen.
 #[test]
