fix(schedule): end no runner by an entry for an unknown service

Tasks ran twice beside an entry of the service list that another writer had left. Such an entry may name the host of a live runner, or have replaced the entry of one, with a later start. The engine took it for a later runner of the host, or for a later incarnation, and started the tasks of the live runner elsewhere. A new leader that read it first also ignored the own entries of a runner of that name, since they have an earlier start.

A pool now knows whether a configuration or a job names it. An entry for any other pool ends no earlier incarnation, and counts as the removal of the runner that it has replaced, like an entry that can't be decoded. Runs there go on until the runner answers, or its lease ends. Entries for named pools end earlier runners at once, as before.

The simulated runners now answer at their listed address only.

--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -175,10 +175,12 @@
             let known = &mut self.pools[key];
             known.guarded = pool.guarded;
             known.standby = pool.standby;
+            known.named = true;
         }
         for queue in &config.queues {
             let key = self.intern_queue(&queue.name, &queue.policy);
             let pool = self.intern_pool(&queue.policy.pool);
+            self.pools[pool].named = true;
             let known = &mut self.queues[key];
             known.pool = pool;
             known.priority = queue.policy.priority;
@@ -227,6 +229,7 @@
             return key;
         }
         let pool = self.intern_pool(&policy.pool);
+        self.pools[pool].named = true;
         let key = self.queues.insert(Queue {
             name: Arc::clone(name),
             pool,
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -191,7 +191,9 @@
             return Some(key);
         }
         let later = |runner: &Runner| {
-            runner.host == assignment.host && runner.incarnation > assignment.incarnation
+            self.pools[runner.pool].named
+                && runner.host == assignment.host
+                && runner.incarnation > assignment.incarnation
         };
         if !assignment.host.is_empty() && self.runners.values().any(later) {
             if let Some(key) = known {
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -37,29 +37,42 @@
             Change::Set(listed) => self.set_listed(&listed, now),
             Change::Removed(id) => {
                 if let Some(&key) = self.runner_index.get(&id) {
-                    self.runners[key].listed = false;
-                    self.drop_unlisted(key, now);
+                    self.unlist(key, now);
                 }
             }
         }
     }
 
+    fn unlist(&mut self, key: runner::Key, now: Time) {
+        self.runners[key].listed = false;
+        self.drop_unlisted(key, now);
+    }
+
     fn set_listed(&mut self, listed: &Listed, now: Time) {
         let pool = self.intern_pool(&listed.pool);
+        // An entry for a pool that nothing names may come from another writer. It does not end the runners of other pools.
+        let named = self.pools[pool].named;
         if let Some(&key) = self.runner_index.get(&listed.id) {
             let known = &self.runners[key];
+            let known_named = self.pools[known.pool].named;
+            if known_named && !named {
+                self.unlist(key, now);
+                return;
+            }
             if known.incarnation == listed.incarnation {
                 self.update_listed(key, listed, pool, now);
                 return;
             }
-            if known.incarnation > listed.incarnation {
+            if known.incarnation > listed.incarnation && known_named {
                 return;
             }
         }
         // No task starts there before the first answer.
         let runner = Runner::new(listed, pool, self.former_runs_until, now);
         let key = self.add_incarnation(runner, now);
-        self.end_earlier_incarnations(listed, now);
+        if named {
+            self.end_earlier_incarnations(listed, now);
+        }
         self.pools[pool].runners.push(key);
         self.note(Note::new(Kind::RunnerListed, "new", now).with_place(&listed.id));
         if listed.draining.is_some() {
--- a/crates/schedule/src/queue/pool.rs
+++ b/crates/schedule/src/queue/pool.rs
@@ -16,6 +16,8 @@
     pub guarded: bool,
     /// Whether the pool holds hosts that are switched off and cost nothing.
     pub standby: bool,
+    /// Whether a configuration or a job names the pool. Others are known from the service list or the host list only.
+    pub named: bool,
     /// Runners of the pool.
     pub runners: Vec<runner::Key>,
     /// Waiting tasks, in the order in which they start.
@@ -31,6 +33,7 @@
             name,
             guarded: false,
             standby: false,
+            named: false,
             runners: Vec::new(),
             ready: BTreeSet::new(),
             latest_turn: None,
--- a/crates/schedule/tests/engine/harness/execute.rs
+++ b/crates/schedule/tests/engine/harness/execute.rs
@@ -219,6 +219,9 @@
         let sent = self.time();
         let (clock, result) = match self.runners.get_mut(&*target.id) {
             _ if self.unreachable.contains(&*target.id) => (None, Err(Failure::Unknown)),
+            Some(runner) if runner.listed.address != target.address => {
+                (None, Err(Failure::Unknown))
+            }
             Some(runner) => {
                 let result = act(&mut runner.worker);
                 (Some(runner.worker.clock(self.now)), result)
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -8,6 +8,7 @@
 mod doubt;
 mod evict;
 mod fail;
+mod foreign;
 mod harness;
 mod host;
 mod lease;
