fix(schedule): end no runner by an answer at its former address

An answer 421 tells that another runner is at the address to which an order was sent. The engine ended the runner that the order named, and started its tasks elsewhere, also if the list had since given that runner another address. The runner lived on, and its tasks ran twice.

The engine now keeps when a listed address has replaced another one of the same incarnation. Such an answer counts as none if the order was sent before, or within the time that an order is on its way after: an order that was made for the former address may be sent a moment later. The clock in it is that of the other runner, and is not read.

--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -124,6 +124,7 @@
         answer: Answer<View>,
         now: Time,
     ) {
+        let answer = self.discard_outdated(key, answer);
         let Some(runner) = self.runners.get_mut(key) else {
             return;
         };
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -22,7 +22,10 @@
             Report, //
         },
     },
-    runner,
+    runner::{
+        self,
+        Runner, //
+    },
 };
 use sassafrascrank_base::prelude::*;
 
@@ -72,6 +75,19 @@
         }
     }
 
+    /// Drops the answer of another runner at an address that the runner may have left since. The runner may have got an
+    /// earlier copy of the order.
+    pub(super) fn discard_outdated<T>(&self, key: runner::Key, mut answer: Answer<T>) -> Answer<T> {
+        let left = |runner: &Runner| answer.sent < runner.readdressed + self.rules.order_limit;
+        if matches!(answer.result, Err(Failure::Replaced))
+            && self.runners.get(key).is_some_and(left)
+        {
+            answer.result = Err(Failure::Unknown);
+            answer.clock = None;
+        }
+        answer
+    }
+
     /// Handles the answer to a start that was ordered to `ordered_to`, which may have restarted since.
     fn handle_start(
         &mut self,
@@ -84,6 +100,7 @@
             .runs
             .get(key)
             .is_some_and(|run| self.repeats_start(run));
+        let answer = self.discard_outdated(ordered_to, answer);
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -187,6 +204,7 @@
         answer: Answer<()>,
         now: Time,
     ) {
+        let answer = self.discard_outdated(runner_key, answer);
         self.read_clock(runner_key, answer.clock, now);
         match answer.result {
             Ok(()) => {
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -84,6 +84,10 @@
         let runner = &mut self.runners[key];
         let was_draining = runner.leaves_at.is_some();
         runner.listed = true;
+        let former = runner.address.filter(|former| *former != listed.address);
+        if former.is_some() {
+            runner.readdressed = now;
+        }
         runner.address = Some(listed.address);
         runner.capacity = listed.capacity;
         runner.host = listed.host.clone();
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -41,6 +41,8 @@
     pub pool: key::Pool,
     /// Address for orders; `None` if the runner is known from the log only.
     pub address: Option<SocketAddr>,
+    /// When this address has replaced another one; [`Time::MIN`] if none.
+    pub readdressed: Time,
     /// All labels.
     pub labels: Box<[Arc<str>]>,
     /// Availability zone.
@@ -162,6 +164,7 @@
             host: Arc::clone(&nothing),
             pool,
             address: None,
+            readdressed: Time::MIN,
             labels: Box::default(),
             zone: Arc::clone(&nothing),
             rack: nothing,
