fix(schedule): renew a lease only for runs that the log has

Callers could see a task run twice at once after a change of the leader while a runner had started again under its name.

A poll renewed the lease of a runner as soon as a run was planned there. If the runner had restarted unnoticed, the later incarnation granted its longest lease, since the poll named the end by the clock of the earlier one. If the leader was lost before the log had the planned run, or the bound that it would have stored, the next leader found neither a run at the earlier incarnation nor a bound. It waited for the leases that it had ordered itself, and started the task elsewhere too soon. The log may store nothing for seconds before a leader is lost, so the window is not the few milliseconds of an append.

A planned run needs no lease: its start asks for one, and is ordered once the log has the run. So a poll now renews the lease only if the runner has a run that the log has. Then the next leader reads a run at the earlier incarnation, and waits for the longest lease. No runner is waited for longer than before.

--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -59,9 +59,10 @@
             let rules = self.rules;
             let runner = &mut self.runners[key];
             runner.poll_sent = Some(now);
-            // Without runs there is no lease to renew. A renewal for a runner that does not answer would postpone the
-            // time from which its runs count as ended.
-            let renews = may_order && !runner.runs.is_empty() && runner.misses == 0;
+            // A lease is asked for only for runs that the log has, so that a later leader knows of it. A renewal for a runner
+            // that does not answer would postpone the time from which its runs count as ended.
+            let is_stored = |run: &run::Key| self.runs[*run].stage != Stage::Planned;
+            let renews = may_order && runner.misses == 0 && runner.runs.iter().any(is_stored);
             let until = match renews {
                 true => runner.renew_lease(rules.lease, &rules, now),
                 false => None,
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -60,7 +60,7 @@
 /// Epoch of the first leader.
 const FIRST_EPOCH: u64 = epoch::next(None, ENTRY);
 /// Time between two ticks of the engine.
-const TICK: Duration = Duration::from_millis(20);
+pub(super) const TICK: Duration = Duration::from_millis(20);
 
 /// A simulated runner and its entry in the service list.
 pub(crate) struct TestRunner {
--- a/crates/schedule/tests/engine/harness/takeover.rs
+++ b/crates/schedule/tests/engine/harness/takeover.rs
@@ -3,7 +3,10 @@
 use super::{
     Harness,
     fixture::config,
-    harness::ENTRY, //
+    harness::{
+        ENTRY,
+        TICK, //
+    },
 };
 use sassafrascrank_base::{
     epoch,
@@ -32,6 +35,20 @@
         self.add_line("leader lost");
     }
 
+    /// Runs the engine for the given number of milliseconds, while the log stores nothing.
+    pub(crate) fn run_unstored_ms(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now += TICK;
+            let now = self.time();
+            self.engine.tick(Permission::Start, now, now);
+            for order in self.engine.take_orders() {
+                self.execute(order);
+            }
+        }
+        self.add_line("log stored nothing");
+    }
+
     /// Replaces the engine by that of a new leader, which knows what the log and the service list have.
     pub(crate) fn take_over(&mut self) {
         self.take_over_with(self.service_list());
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -146,6 +146,24 @@
     );
 }
 
+/// Guards against the same fault if the leader is lost before the log has a run at the runner. The next one can't know of
+/// the restart, nor that a poll for the earlier incarnation has renewed the lease for the planned run.
+#[test]
+fn lease_is_not_renewed_for_a_run_that_the_log_lacks() {
+    let mut harness = with_old_runner();
+    harness.submit(1, vec![step(1)]);
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.run_unstored_ms(2_000);
+    harness.take_over_after_resignation();
+    harness.run_ms(200);
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "lease_is_not_renewed_for_a_run_that_the_log_lacks",
+    );
+}
+
 /// Guards against the same fault if the runner was forgotten meanwhile, because it was not listed and its run had ended.
 #[test]
 fn runner_that_was_forgotten_keeps_the_lease_of_an_earlier_poll() {
