fix(schedule): contact a restarted runner before the service list shows it

A leader that learned of a later incarnation from the answer to a poll dropped it if it had no runs, since the service list did not have it yet, and asked it again only once it was listed. Until then it had seen no fence of its own, and carried out a start that was seconds late, beside a later attempt or after the task was done. Such a runner is now asked until it has answered, three times at most.

--- a/crates/control/tests/simulation/event.rs
+++ b/crates/control/tests/simulation/event.rs
@@ -274,6 +274,7 @@
         );
         worker.set_fenced(fences);
         runner.worker = worker;
+        runner.unknown_since = (!renamed).then_some(now);
         match renamed {
             true => self.list_to_all(),
             // Until then, orders for the earlier incarnation reach the later one.
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -34,6 +34,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         BinaryHeap, //
     },
     sync::Arc,
@@ -146,6 +147,9 @@
     worker: Worker,
     host: Arc<str>,
     incarnation: u64,
+    /// When this incarnation began, if it has started under the name of an earlier one and has not answered a poll, by which
+    /// leaders would know of it.
+    unknown_since: Option<Duration>,
     /// For each entry, when its connection to the runner is back.
     cut_until: Vec<Duration>,
     /// Attempts that earlier incarnations ran.
@@ -179,6 +183,8 @@
     config: Arc<Config>,
     /// Number of starts by task.
     starts: BTreeMap<String, u32>,
+    /// Task, attempt and time of the starts that no leader can prevent.
+    unpreventable: BTreeSet<(String, u32, Duration)>,
     /// Number of answers with less than half of the jobs that were pending.
     undercounted: usize,
     /// Number of cancels of accepted jobs that were answered that there is no such job.
@@ -238,6 +244,7 @@
             handled: 0,
             config: Arc::new(config),
             starts: BTreeMap::new(),
+            unpreventable: BTreeSet::new(),
             undercounted: 0,
             denied: 0,
             deposed: 0,
@@ -258,6 +265,7 @@
                 worker,
                 host: format!("host-{index}").into(),
                 incarnation: 1,
+                unknown_since: None,
                 cut_until: vec![Duration::ZERO; scenario.entries],
                 history: Vec::new(),
             });
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -64,6 +64,14 @@
     }
 }
 
+/// Returns the scenario in which runners start again under their names and are cut off soon after.
+fn cut_restarts() -> Scenario {
+    Scenario {
+        cut_restarts: 4,
+        ..Scenario::default()
+    }
+}
+
 /// Runs schedules in parallel on all processors but two, and returns those with a fault.
 fn faults(scenario: Scenario, seeds: core::ops::Range<u64>) -> Vec<(u64, Verdict)> {
     let threads = std::thread::available_parallelism().map_or(2, |count| count.get());
@@ -197,14 +205,21 @@
 #[test]
 fn no_task_runs_twice_when_restarted_runners_are_cut_off() {
     let scenario = Scenario {
-        cut_restarts: 4,
-        // An order that is carried out seconds late may reach an incarnation that does not know of a later stop.
         late_orders: 0.0,
-        ..Scenario::default()
+        ..cut_restarts()
     };
     assert_none(&faults(scenario, 0..READ_SCHEDULES), is_job_fault);
 }
 
+/// Guards against two attempts of a task at the same time, and against a task that starts again after it was done, when a
+/// restarted runner carries out orders that were sent seconds ago to its earlier incarnation: a start that was prevented
+/// there by a stop, a poll that asks for a lease by the earlier clock, or one that acknowledges ends by their earlier numbers.
+#[test]
+fn orders_for_an_earlier_incarnation_do_nothing_when_they_arrive_late() {
+    let found = faults(cut_restarts(), 0..READ_SCHEDULES);
+    assert_none(&found, is_job_fault);
+}
+
 /// Guards against reports on orders of an earlier lead that count for the runs and runners of a later lead of the same
 /// entry: a run counts as started or lost that is not, and the leader gives up the lead.
 #[test]
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -48,7 +48,7 @@
         let keys: Vec<runner::Key> = self.runners.keys().collect();
         for key in keys {
             let runner = &self.runners[key];
-            let needed = runner.listed || !runner.runs.is_empty();
+            let needed = runner.listed || !runner.runs.is_empty() || runner.is_contact_due();
             if runner.poll_sent.is_some() || now < runner.poll_at || !needed {
                 continue;
             }
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -233,12 +233,13 @@
         self.note(Note::new(Kind::RunnerGone, loss.as_str(), now).with_place(&id));
     }
 
-    /// Removes a runner that is not listed and has no runs.
+    /// Removes a runner that is not listed and has no runs, once it rejects orders for earlier incarnations.
     pub(super) fn drop_unlisted(&mut self, key: runner::Key, now: Time) {
         let Some(runner) = self.runners.get(key) else {
             return;
         };
-        if !runner.listed && runner.runs.is_empty() && runner.poll_sent.is_none() {
+        let idle = runner.runs.is_empty() && runner.poll_sent.is_none();
+        if !runner.listed && idle && !runner.is_contact_due() {
             let id = runner.id.clone();
             self.remove_runner(key, now);
             self.note(Note::new(Kind::RunnerGone, "left", now).with_place(&id));
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -24,6 +24,9 @@
     pub struct Key;
 }
 
+/// Number of polls without an answer after which a runner that the service list lacks is no longer asked.
+const CONTACT_ATTEMPTS: u32 = 3;
+
 /// One incarnation of a runner: one run of its process.
 #[derive(Clone, Debug)]
 pub struct Runner {
@@ -214,6 +217,11 @@
             && now >= self.quarantined_until
     }
 
+    /// Returns whether it has to be asked for an answer, so that it rejects orders for earlier incarnations.
+    pub fn is_contact_due(&self) -> bool {
+        self.accepts_earlier_orders && self.address.is_some() && self.misses < CONTACT_ATTEMPTS
+    }
+
     /// Adds a run, and takes its resources.
     pub fn add_run(&mut self, key: run::Key, run: &Run) {
         self.used += run.need;
