--- a/crates/base/src/epoch/mod.rs
+++ b/crates/base/src/epoch/mod.rs
@@ -5,5 +5,6 @@
 pub use epoch::{
     MAX_GENERATION,
     fence,
-    next, //
+    next,
+    round, //
 };
--- a/crates/control/tests/claim.rs
+++ b/crates/control/tests/claim.rs
@@ -1,6 +1,9 @@
 //! Claims of two entries in the same round whose identities end in the same bits, so that both have the same epoch.
 
-use sassafrascrank_base::prelude::*;
+use sassafrascrank_base::{
+    epoch,
+    prelude::*, //
+};
 use sassafrascrank_control::{
     control::{
         Control,
@@ -206,7 +209,7 @@
     let mut lines = String::new();
     for (key, value) in rows {
         if let Some(Record::Leader(leader)) = record::decode(&key, &value).unwrap() {
-            let round = leader.epoch >> 16;
+            let round = epoch::round(leader.epoch);
             let resigned = if leader.resigned { ", resigned" } else { "" };
             writeln!(lines, "round {round}: {}{resigned}", leader.holder).unwrap();
         }
--- a/crates/lead/tests/election.rs
+++ b/crates/lead/tests/election.rs
@@ -279,7 +279,7 @@
         while now < START + Duration::from_secs(4) {
             election.record_read(true, now, now);
             if let Claim::Append(epoch) = election.claim(Rank::Unknown, now) {
-                claims.push((epoch >> 16, now.since(START).as_millis()));
+                claims.push((epoch::round(epoch), now.since(START).as_millis()));
                 if lost.is_none() {
                     let same = Observation {
                         writer,
