test(soak): let runners grant leases as long as the settings say

The settings of the entries name a longest lease of 10 s, but the runners of the stand-in granted 6 s, its default. Entries that reckon with 10 s therefore waited 4 s longer than a runner that is cut off can run on, and an entry that reckons with too short a lease had to be wrong by 4 s more before two runs overlapped.

The longest lease is now part of the addresses and times of a cluster, and the soak takes both from one constant. Clusters of other tests grant 6 s as before.

--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -20,6 +20,8 @@
 
 /// Time between two records that a runner writes about itself; the entry of a silent runner expires after three.
 const HEARTBEAT: Duration = Duration::from_millis(1_000);
+/// Longest lease that a runner grants, which the entries read in their settings.
+const LEASE_LIMIT: Duration = Duration::from_millis(10_000);
 /// Availability zones with their entries, of which the run takes as many as it has.
 const ZONES: [&str; 7] = [
     "nicoya",
@@ -84,6 +86,7 @@
             address: self.address(2),
             views: (0..self.entries).map(|entry| self.proxy(entry)).collect(),
             registration: HEARTBEAT,
+            lease_limit: LEASE_LIMIT,
         }
     }
 
@@ -117,11 +120,12 @@
         let (own, proxy) = (self.address(20 + entry), self.proxy(entry));
         let zone = ZONES[entry % ZONES.len()];
         let [front, ready, control] = PORTS;
+        let lease_limit = LEASE_LIMIT.as_millis();
         format!(
             "node=frontend-{zone}-{entry}\nzone={zone}\nip={own}\nlisten.front={own}:{front}\n\
              listen.ready={own}:{ready}\nlisten.control={own}:{control}\nportRange=7060,7075\n\
              limits.cpuShare=0.25\nlimits.cores=1\nheartbeatMs=1000\nplatform.addr={proxy}:{log}\n\
-             cloud.addr={proxy}:{hosts}\ncloud.dutyPerS=64.0\nbounds.holdMaxMs=10000\nbounds.stopMs=900\n\
+             cloud.addr={proxy}:{hosts}\ncloud.dutyPerS=64.0\nbounds.holdMaxMs={lease_limit}\nbounds.stopMs=900\n\
              bounds.graceS=6\nbounds.status_s=120\nbounds.migrateS=1.5\nbounds.leaseMs=3000\n"
         )
     }
--- a/crates/standin/src/cluster/network.rs
+++ b/crates/standin/src/cluster/network.rs
@@ -6,6 +6,7 @@
         RUNNER_TOPIC,
         State, //
     },
+    worker::LEASE_LIMIT,
 };
 use std::{
     net::{
@@ -24,6 +25,8 @@
     pub views: Vec<IpAddr>,
     /// Time between two records that a runner writes about itself.
     pub registration: Duration,
+    /// Longest lease that a runner grants.
+    pub lease_limit: Duration,
 }
 
 impl Default for Network {
@@ -32,6 +35,7 @@
             address: IpAddr::V4(Ipv4Addr::LOCALHOST),
             views: Vec::new(),
             registration: Duration::from_millis(100),
+            lease_limit: LEASE_LIMIT,
         }
     }
 }
--- a/crates/standin/src/cluster/state.rs
+++ b/crates/standin/src/cluster/state.rs
@@ -97,6 +97,8 @@
     pub(super) views: Vec<View>,
     /// Time after which the record of a silent runner expires.
     expiry: Duration,
+    /// Longest lease that a runner grants.
+    lease_limit: Duration,
     /// Address of the runners.
     pub(super) address: IpAddr,
     pub(super) config_version: u64,
@@ -135,6 +137,7 @@
             expiring: Vec::new(),
             views: network.views.iter().copied().map(View::new).collect(),
             expiry: network.registration * 3,
+            lease_limit: network.lease_limit,
             address: network.address,
             config_version: 0,
         };
@@ -170,7 +173,9 @@
             node.instances += 1;
             node.leaves_at = None;
             let id = format!("i-{host}-{}", node.instances);
-            node.worker = Some(Worker::new(&id, unix_millis(), MAX_RUNS, 1_000, now));
+            let mut worker = Worker::new(&id, unix_millis(), MAX_RUNS, 1_000, now);
+            worker.lease_limit = self.lease_limit;
+            node.worker = Some(worker);
         }
         self.register(host);
     }
--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -6,7 +6,7 @@
 };
 
 /// Longest lease that a worker grants unless a test sets another one: `holdMaxMs` of the smallest deployment.
-const LEASE_LIMIT: Duration = Duration::from_secs(6);
+pub(super) const LEASE_LIMIT: Duration = Duration::from_secs(6);
 
 /// Why an order was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
