test(soak): restart runners that go dark

A new fault lets a runner go dark: its proxies hold from the crash until the runner has started again under its id. The stand-in keeps calls waiting while there is no runner, in place of a 421 in its name, and ends those that an earlier incarnation had read without an answer. Two sorts of faults restart runners so and cut them off 0.2 to 3 s later for 2 to 9 s:

- `restart-dark`, for up to 0.9 s: the proxies drop what they hold once the entry has closed the connection.
- `restart-late`, for up to 6 s: the proxies carry it to the new incarnation, in the order of its arrival.

One of 3 jobs has long tasks if there are such faults, otherwise one of 12 as before. `--sorts` restricts a run to sorts. The report names the incarnation of each run.

A request whose connection ended before its body was complete was carried out by the stand-in with an empty body; it now has no effect.

A start waits at a dark runner, the leader gives it up by the end of its lease, and the restarted runner carries it out beside the next attempt.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -44,8 +44,6 @@
 const ATTEMPTS: usize = 6;
 /// Time between two reads of a job.
 const READ_INTERVAL: Duration = Duration::from_millis(900);
-/// One of this many jobs has tasks that run for longer than the longest lease of a runner.
-const LONG_WORK_SHARE: u32 = 12;
 /// Number of reads of a job, which bounds the calls of a run.
 const READS: usize = 12;
 
@@ -55,16 +53,19 @@
     pool: Pool,
     jobs: Jobs,
     start: Instant,
+    /// One of this many jobs has tasks that run for longer than the longest lease of a runner.
+    long_work_share: u32,
 }
 
 impl Callers {
-    /// Creates callers; times are relative to `start`.
-    pub fn new(site: Site, jobs: Jobs, start: Instant) -> Rc<Self> {
+    /// Creates callers; times are relative to `start`. One of `long_work_share` jobs has long tasks.
+    pub fn new(site: Site, jobs: Jobs, start: Instant, long_work_share: u32) -> Rc<Self> {
         Rc::new(Self {
             site,
             pool: Pool::new(64, DEADLINE),
             jobs,
             start,
+            long_work_share,
         })
     }
 
@@ -107,7 +108,7 @@
             queue: name.to_owned(),
             pool: pool.to_owned(),
             steps,
-            work: (!lasting).then(|| match random.random_range(0..LONG_WORK_SHARE) {
+            work: (!lasting).then(|| match random.random_range(0..self.long_work_share) {
                 0 => random.random_range(8_000..12_000),
                 _ => random.random_range(300..2_000),
             }),
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,8 +1,12 @@
 //! The seeded schedule of faults.
 
-use crate::link::{
-    Close,
-    Mode, //
+use crate::{
+    link::{
+        Close,
+        Held,
+        Mode, //
+    },
+    sort::Sort,
 };
 use rand::{
     RngExt,
@@ -18,10 +22,6 @@
 const SERIES: u64 = 9_000;
 /// Time between two series. Long-running tasks are judged while the last 7 s are calm.
 const CALM: u64 = 11_000;
-/// Number of sorts of faults.
-const SORTS: u8 = 11;
-/// The sort of runners that start again under their ids and are cut off soon after.
-const RESTART_AND_CUT: u8 = 10;
 /// Largest number of faults of a run.
 const LIMIT: usize = 600;
 
@@ -49,8 +49,10 @@
     Freeze(usize),
     /// A runner crashes, and starts again at the end, under the same id if so.
     Crash(usize, bool),
+    /// A runner crashes without a sign to the entries, whose calls wait for it, and starts again under its id at the end.
+    Dark(usize, Held),
     /// A runner is cut off from all entries.
-    Cut(usize),
+    Cut(usize, Held),
     /// A runner drains until the end, leaves, and a new one starts a second later.
     Drain(usize),
     /// The proxies of an entry are in this mode.
@@ -106,58 +108,96 @@
     pub millis: u64,
 }
 
+/// Events of a schedule that grows.
+struct Plan {
+    events: Vec<Event>,
+    size: Size,
+    kinds: Kinds,
+}
+
+impl Plan {
+    fn add(&mut self, begin: u64, fault: Fault, lasts: u64) {
+        let millis = self.size.millis;
+        if allowed(fault, self.kinds) && self.events.len() < LIMIT && begin < millis {
+            self.events.push(Event {
+                begin: Duration::from_millis(begin),
+                end: Duration::from_millis((begin + lasts).min(millis)),
+                fault,
+            });
+        }
+    }
+
+    /// Adds the faults of one sort to a series.
+    fn extend(&mut self, random: &mut StdRng, sort: Sort, series: u64, length: u64) {
+        let count = match sort {
+            // Many crashes a second.
+            Sort::CrashBrief | Sort::Crash => random.random_range(20..=90),
+            Sort::RestartDark | Sort::RestartLate => random.random_range(8..=16),
+            _ => random.random_range(2..=8),
+        };
+        let subject = random.random_range(0..self.size.entries);
+        for _ in 0..count {
+            let begin = series + random.random_range(0..length);
+            let (fault, lasts) = draw(random, sort, subject, self.size);
+            self.add(begin, fault, lasts);
+            let cut = match (sort, fault) {
+                (Sort::Restart, Fault::Crash(host, _)) => Fault::Cut(host, Held::Kept),
+                (_, Fault::Dark(host, held)) => Fault::Cut(host, held),
+                _ => continue,
+            };
+            let at = begin + lasts + random.random_range(200..3_000);
+            self.add(at, cut, random.random_range(2_000..9_000));
+        }
+    }
+}
+
 /// Returns the faults of a seed, in the order of their begin.
-pub fn schedule(seed: u64, size: Size, kinds: Kinds) -> Vec<Event> {
+pub fn schedule(seed: u64, size: Size, kinds: Kinds, sorts: &[Sort]) -> Vec<Event> {
+    let (dark, plain): (Vec<Sort>, Vec<Sort>) = sorts.iter().partition(|sort| sort.is_dark());
     let mut random = StdRng::seed_from_u64(seed);
-    let mut events = Vec::new();
+    // With a generator of their own, the dark sorts change no other fault of a seed.
+    let mut dark_random = StdRng::seed_from_u64(seed ^ 0xda2c);
+    let mut plan = Plan {
+        events: Vec::new(),
+        size,
+        kinds,
+    };
     let mut series = FIRST;
     while series + 2_000 < size.millis {
         let length = SERIES.min(size.millis - series - 1_000);
-        // Each series mixes one to three sorts of faults, so that a broken case stays readable.
-        for _ in 0..random.random_range(1..=3) {
-            let sort = random.random_range(0..SORTS);
-            let count = match sort {
-                // Many crashes a second.
-                3 | 4 => random.random_range(20..=90),
-                _ => random.random_range(2..=8),
-            };
-            let subject = random.random_range(0..size.entries);
-            for _ in 0..count {
-                let begin = series + random.random_range(0..length);
-                let (fault, lasts) = draw(&mut random, sort, subject, size);
-                let mut add = |begin: u64, fault: Fault, lasts: u64| {
-                    if allowed(fault, kinds) && events.len() < LIMIT && begin < size.millis {
-                        events.push(Event {
-                            begin: Duration::from_millis(begin),
-                            end: Duration::from_millis((begin + lasts).min(size.millis)),
-                            fault,
-                        });
-                    }
-                };
-                add(begin, fault, lasts);
-                if let (RESTART_AND_CUT, Fault::Crash(host, _)) = (sort, fault) {
-                    let cut = begin + lasts + random.random_range(200..3_000);
-                    add(cut, Fault::Cut(host), random.random_range(2_000..9_000));
-                }
+        if !plain.is_empty() {
+            // Each series mixes one to three sorts of faults, so that a broken case stays readable.
+            for _ in 0..random.random_range(1..=3) {
+                let sort = pick(&mut random, &plain);
+                plan.extend(&mut random, sort, series, length);
             }
         }
+        if !dark.is_empty() {
+            let sort = pick(&mut dark_random, &dark);
+            plan.extend(&mut dark_random, sort, series, length);
+        }
         series += length + CALM;
     }
-    events.sort_by_key(|event| event.begin);
-    events
+    plan.events.sort_by_key(|event| event.begin);
+    plan.events
+}
+
+fn pick(random: &mut StdRng, sorts: &[Sort]) -> Sort {
+    let count = u8::try_from(sorts.len()).unwrap_or(u8::MAX);
+    sorts[usize::from(random.random_range(0..count))]
 }
 
 fn allowed(fault: Fault, kinds: Kinds) -> bool {
     match fault {
         Fault::Kill(_) | Fault::Terminate(_) | Fault::Freeze(_) => kinds.entries,
-        Fault::Crash(..) | Fault::Cut(_) | Fault::Drain(_) => kinds.runners,
+        Fault::Crash(..) | Fault::Dark(..) | Fault::Cut(..) | Fault::Drain(_) => kinds.runners,
         Fault::Link(..) | Fault::Close(..) => kinds.links,
         Fault::Log(..) => kinds.log,
     }
 }
 
 /// Returns a fault of a sort with its duration in milliseconds. `subject` is the entry that a series is about.
-fn draw(random: &mut StdRng, sort: u8, subject: usize, size: Size) -> (Fault, u64) {
+fn draw(random: &mut StdRng, sort: Sort, subject: usize, size: Size) -> (Fault, u64) {
     let any = random.random_range(0..size.entries);
     let host = random.random_range(0..size.hosts);
     let target = match random.random_range(0..4) {
@@ -167,34 +207,42 @@
     };
     let short = random.random_range(50..4_000);
     match sort {
-        0 => (Fault::Kill(any), random.random_range(100..3_000)),
-        1 => (Fault::Terminate(any), random.random_range(500..6_500)),
-        2 => (Fault::Freeze(any), short),
-        3 => (
+        Sort::Kill => (Fault::Kill(any), random.random_range(100..3_000)),
+        Sort::Terminate => (Fault::Terminate(any), random.random_range(500..6_500)),
+        Sort::Freeze => (Fault::Freeze(any), short),
+        Sort::CrashBrief => (
             Fault::Crash(host, random.random()),
             random.random_range(50..900),
         ),
-        4 => (
+        Sort::Crash => (
             Fault::Crash(host, random.random()),
             random.random_range(100..4_000),
         ),
-        5 => (Fault::Drain(host), random.random_range(2_000..3_500)),
-        6 => match random.random_range(0..3) {
+        Sort::Drain => (Fault::Drain(host), random.random_range(2_000..3_500)),
+        Sort::Close => match random.random_range(0..3) {
             0 => (Fault::Close(subject, target, Close::Reset), 1),
             1 => (Fault::Close(any, Target::All, Close::Idle), 1),
             _ => (Fault::Close(any, Target::All, Close::Reset), 1),
         },
-        7 => {
+        Sort::Link => {
             let mode = match random.random_range(0..4) {
-                0 | 1 => Mode::Hold,
+                0 | 1 => Mode::Hold(Held::Kept),
                 2 => Mode::Refuse,
                 _ => Mode::Delay(Duration::from_millis(random.random_range(20..600))),
             };
             (Fault::Link(subject, target, mode), short)
         }
-        8 => (Fault::Log(Some(subject), log(random)), short),
-        RESTART_AND_CUT => (Fault::Crash(host, true), random.random_range(50..900)),
-        _ => (Fault::Log(None, log(random)), short),
+        Sort::LogView => (Fault::Log(Some(subject), log(random)), short),
+        Sort::Log => (Fault::Log(None, log(random)), short),
+        Sort::Restart => (Fault::Crash(host, true), random.random_range(50..900)),
+        Sort::RestartDark => (
+            Fault::Dark(host, Held::Dropped),
+            random.random_range(50..900),
+        ),
+        Sort::RestartLate => (
+            Fault::Dark(host, Held::Queued),
+            random.random_range(500..6_000),
+        ),
     }
 }
 
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -49,6 +49,12 @@
     task.split('.').nth(2)?.parse().ok()
 }
 
+/// Returns the attempt of a run with the runner and the incarnation that carried it out.
+fn named(record: &Record) -> String {
+    let Record { runner, born, run } = record;
+    format!("attempt {} on {runner} born {born}", run.attempt)
+}
+
 /// Returns the CPU that a task requests.
 fn cpu(jobs: &BTreeMap<String, Job>, task: &str) -> u64 {
     let job = task.split('.').next().and_then(|id| jobs.get(id));
@@ -181,15 +187,23 @@
             let id = task.split('.').next().unwrap_or_default();
             for pair in runs.windows(2) {
                 if pair[1].run.began < pair[0].run.ended {
-                    let detail = "two runs at the same time".to_owned();
+                    let detail = format!(
+                        "two runs at the same time: {}, {}",
+                        named(pair[0]),
+                        named(pair[1])
+                    );
                     self.find("TWICE", id, task, pair[1].run.began, detail);
                 }
             }
             let done = runs
                 .iter()
                 .position(|record| record.run.outcome == "done" && record.run.acknowledged);
-            if let Some(again) = done.and_then(|done| runs.get(done + 1)) {
-                let detail = "a start after an end `done` that was taken note of".to_owned();
+            if let Some([done, again, ..]) = done.map(|done| &runs[done..]) {
+                let detail = format!(
+                    "a start after an end `done` that was taken note of: {}, {}",
+                    named(done),
+                    named(again)
+                );
                 self.find("TWICE", id, task, again.run.began, detail);
             }
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod report;
 pub mod run;
 pub mod site;
+pub mod sort;
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -4,6 +4,7 @@
 use std::{
     io,
     net::SocketAddr,
+    rc::Rc,
     time::Duration, //
 };
 use tokio::{
@@ -15,7 +16,10 @@
         TcpListener,
         TcpStream, //
     },
-    sync::watch,
+    sync::{
+        Mutex,
+        watch, //
+    },
     task::spawn_local,
     time::{
         Instant,
@@ -28,6 +32,17 @@
 /// Largest part of a stream that is carried at once.
 const BUFFER_BYTES: usize = 16 << 10;
 
+/// What becomes of held bytes once their sender has closed the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Held {
+    /// They are carried when the mode changes, in any order.
+    Kept,
+    /// They are carried when the mode changes, in the order of their arrival, as calls that arrive late.
+    Queued,
+    /// They are dropped, as by a machine that can't be reached.
+    Dropped,
+}
+
 /// What a proxy does with bytes and new connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mode {
@@ -36,7 +51,7 @@
     /// It carries them later.
     Delay(Duration),
     /// It accepts connections and carries nothing until the mode changes.
-    Hold,
+    Hold(Held),
     /// It ends open connections and listens no longer.
     Refuse,
 }
@@ -92,6 +107,7 @@
     closes: watch::Receiver<(u64, Close)>,
 ) {
     let mut listener = Some(listener);
+    let turns = Rc::new(Mutex::new(()));
     loop {
         let mode = *modes.borrow_and_update();
         if mode == Mode::Refuse {
@@ -111,7 +127,13 @@
         tokio::select! {
             accepted = open.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    spawn_local(carry(stream, target, modes.clone(), closes.clone()));
+                    spawn_local(carry(
+                        stream,
+                        target,
+                        modes.clone(),
+                        closes.clone(),
+                        Rc::clone(&turns),
+                    ));
                 }
             }
             changed = modes.changed() => {
@@ -128,6 +150,7 @@
     target: SocketAddr,
     mut modes: watch::Receiver<Mode>,
     mut closes: watch::Receiver<(u64, Close)>,
+    turns: Rc<Mutex<()>>,
 ) {
     let Ok(mut far) = TcpStream::connect(target).await else {
         return;
@@ -137,8 +160,8 @@
     let reset = {
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
-        let there = pump(near_read, far_write, modes.clone(), &active);
-        let back = pump(far_read, near_write, modes.clone(), &active);
+        let there = pump(near_read, far_write, modes.clone(), &active, &turns);
+        let back = pump(far_read, near_write, modes.clone(), &active, &turns);
         let refused = async {
             let _ = modes.wait_for(|mode| *mode == Mode::Refuse).await;
         };
@@ -166,17 +189,26 @@
     }
 }
 
+/// Carries bytes. What is queued waits for its turn, in which `turns` is locked.
 async fn pump(
     mut from: impl AsyncReadExt + Unpin,
     mut to: impl AsyncWriteExt + Unpin,
     mut modes: watch::Receiver<Mode>,
     active: &watch::Sender<Instant>,
+    turns: &Mutex<()>,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut late = false;
     loop {
-        let Ok(length @ 1..) = from.read(&mut buffer).await else {
+        let Ok(mut length @ 1..) = from.read(&mut buffer).await else {
+            if late {
+                // A service ignores a request whose connection ends before the request is read.
+                sleep(IDLE_TIME).await;
+            }
             return;
         };
+        late = false;
+        let mut turn = None;
         active.send_replace(Instant::now());
         loop {
             let mode = *modes.borrow_and_update();
@@ -186,7 +218,27 @@
                     sleep(delay).await;
                     break;
                 }
-                Mode::Hold | Mode::Refuse => {
+                Mode::Hold(Held::Dropped) if length < BUFFER_BYTES => {
+                    tokio::select! {
+                        biased;
+                        more = from.read(&mut buffer[length..]) => match more {
+                            Ok(more @ 1..) => length += more,
+                            _ => return,
+                        },
+                        changed = modes.changed() => {
+                            if changed.is_err() {
+                                return;
+                            }
+                        }
+                    }
+                }
+                Mode::Hold(Held::Queued) if turn.is_none() => {
+                    late = true;
+                    // The lock is given in the order in which it was asked for.
+                    turn = Some(turns.lock().await);
+                }
+                Mode::Hold(_) | Mode::Refuse => {
+                    late = true;
                     if modes.changed().await.is_err() {
                         return;
                     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,11 +3,14 @@
 use lexopt::Arg;
 use sassafrascrank_soak::{
     fault::{
+        Event,
+        Fault,
         Kinds,
         Size,
         schedule, //
     },
-    run, //
+    run,
+    sort::Sort, //
 };
 use std::{
     path::PathBuf,
@@ -18,6 +21,10 @@
 const EXIT_FAILURE: u8 = 2;
 /// Number of hosts that run tasks; the last pool is switched off.
 const HOSTS: usize = 40;
+/// One of this many jobs has long tasks.
+const LONG_WORK_SHARE: u32 = 12;
+/// The same if runners go dark, since a task that ends before the cut of its runner can't run twice.
+const LONG_WORK_SHARE_DARK: u32 = 3;
 
 fn main() -> ExitCode {
     match parse().map(|options| run::run(&options)) {
@@ -37,6 +44,7 @@
 fn parse() -> Result<run::Options, lexopt::Error> {
     let (mut seed, mut seconds, mut entries) = (1, 40_u64, 7);
     let mut kinds = Kinds::ALL;
+    let mut sorts = Sort::ALL.to_vec();
     let mut folder = PathBuf::from(".");
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
@@ -58,6 +66,9 @@
             Arg::Long("faults") => {
                 kinds = parser.value()?.parse_with(kinds_of)?;
             }
+            Arg::Long("sorts") => {
+                sorts = parser.value()?.parse_with(Sort::parse_list)?;
+            }
             Arg::Long("folder") => folder = parser.value()?.into(),
             other => return Err(other.unexpected()),
         }
@@ -67,11 +78,18 @@
         hosts: HOSTS,
         millis: seconds * 1_000,
     };
+    let faults = schedule(seed, size, kinds, &sorts);
+    let dark = |event: &Event| matches!(event.fault, Fault::Dark(..));
+    let long_work_share = match faults.iter().any(dark) {
+        true => LONG_WORK_SHARE_DARK,
+        false => LONG_WORK_SHARE,
+    };
     Ok(run::Options {
         seed,
+        long_work_share,
         size,
         folder,
-        faults: schedule(seed, size, kinds),
+        faults,
     })
 }
 
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -100,8 +100,8 @@
     lines.extend(records.iter().filter(of_case).map(|record| {
         let run = &record.run;
         format!(
-            "  run {} {} on {}: {:.3?} to {:.3?} {}",
-            run.task, run.attempt, record.runner, run.began, run.ended, run.outcome
+            "  run {} {} on {} born {}: {:.3?} to {:.3?} {}",
+            run.task, run.attempt, record.runner, record.born, run.began, run.ended, run.outcome
         )
     }));
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -62,6 +62,8 @@
 pub struct Options {
     /// Seed of the callers.
     pub seed: u64,
+    /// One of this many jobs has tasks that run for longer than the longest lease of a runner.
+    pub long_work_share: u32,
     /// Numbers of entries and hosts, and the duration.
     pub size: Size,
     /// Folder for settings files and the report.
@@ -128,7 +130,12 @@
     let start = Instant::now();
     let offset = stage.cluster.snapshot().now;
     let jobs = Jobs::default();
-    let callers = Callers::new(site, Rc::clone(&jobs), start - offset);
+    let callers = Callers::new(
+        site,
+        Rc::clone(&jobs),
+        start - offset,
+        options.long_work_share,
+    );
     let duration = Duration::from_millis(options.size.millis);
     spawn_local(Rc::clone(&callers).run(options.seed, offset + duration));
     spawn_local(play_faults(
@@ -251,7 +258,12 @@
             stage.cluster.crash(&name(host));
             set_runner(stage, host, Mode::Refuse);
         }
-        Fault::Cut(host) => set_runner(stage, host, Mode::Hold),
+        Fault::Dark(host, held) => {
+            // The proxies hold first, so that no entry sees the connections of the runner end.
+            set_runner(stage, host, Mode::Hold(held));
+            stage.cluster.silence(&name(host));
+        }
+        Fault::Cut(host, held) => set_runner(stage, host, Mode::Hold(held)),
         Fault::Drain(host) => stage.cluster.drain(&name(host), lasts),
         Fault::Link(entry, target, mode) => set(stage, entry, target, mode),
         Fault::Close(entry, target, close) => {
@@ -271,7 +283,12 @@
             set_runner(stage, host, Mode::Pass);
             stage.cluster.restart(&name(host), same_id);
         }
-        Fault::Cut(host) => set_runner(stage, host, Mode::Pass),
+        Fault::Dark(host, _) => {
+            // The runner starts first, so that what the proxies hold reaches the new incarnation.
+            stage.cluster.restart(&name(host), true);
+            set_runner(stage, host, Mode::Pass);
+        }
+        Fault::Cut(host, _) => set_runner(stage, host, Mode::Pass),
         Fault::Drain(host) => {
             sleep(REPLACEMENT).await;
             stage.cluster.restart(&name(host), false);
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -11,6 +11,7 @@
         Step, //
     },
     judge::Judge,
+    sort::Sort,
 };
 use sassafrascrank_standin::cluster::{
     Execution,
@@ -48,6 +49,7 @@
 fn snapshot(now: u32, runs: &[(u32, u32, &'static str)]) -> Snapshot {
     let record = |(index, (began, ended, outcome)): (usize, &(u32, u32, &'static str))| Record {
         runner: format!("i-{index}"),
+        born: 1_000 * index as u64,
         run: Execution {
             task: "a.0.0.0".to_owned(),
             attempt: index as u32 + 1,
@@ -125,6 +127,21 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+// Guards against a report in which a late start on a later incarnation looks like a lease that was too long.
+#[test]
+fn two_runs_are_named_with_their_incarnations() {
+    let jobs = jobs(Some(1), &[(25, "done")]);
+    let detail = |runs: &[(u32, u32, &'static str)]| {
+        let mut judge = Judge::default();
+        judge.conclude(&jobs, &snapshot(21, runs), SECOND * 20);
+        let details = judge.cases().into_iter().map(|case| case.detail);
+        details.collect::<Vec<String>>().join(", ")
+    };
+    let overlap = detail(&[(2, 6, "lapsed"), (5, 7, "done")]);
+    let repeat = detail(&[(2, 3, "done"), (5, 7, "done")]);
+    insta::assert_snapshot!(format!("{overlap}\n{repeat}"));
+}
+
 // Guards against a judge that misses a long-running task that isn't restarted, or that allows no time for it.
 #[test]
 fn long_running_tasks_are_judged_while_calm() {
@@ -153,13 +170,14 @@
         hosts: 40,
         millis: 40_000,
     };
-    let same =
-        (1..200).all(|seed| schedule(seed, size, Kinds::ALL) == schedule(seed, size, Kinds::ALL));
+    let same = (1..200).all(|seed| {
+        schedule(seed, size, Kinds::ALL, &Sort::ALL) == schedule(seed, size, Kinds::ALL, &Sort::ALL)
+    });
     let most = (1..200)
-        .map(|seed| schedule(seed, size, Kinds::ALL).len())
+        .map(|seed| schedule(seed, size, Kinds::ALL, &Sort::ALL).len())
         .max();
     let late = (1..200)
-        .flat_map(|seed| schedule(seed, size, Kinds::ALL))
+        .flat_map(|seed| schedule(seed, size, Kinds::ALL, &Sort::ALL))
         .filter(|event| event.end > SECOND * 40);
     insta::assert_snapshot!(format!(
         "same: {same}\nmost faults: {most:?}\ntoo late: {}",
--- a/crates/standin/src/cluster/cluster.rs
+++ b/crates/standin/src/cluster/cluster.rs
@@ -166,7 +166,7 @@
         let state = lock(&self.state);
         let workers = state.nodes.values().filter_map(|node| node.worker.as_ref());
         let present = workers.flat_map(|worker| worker.history.clone());
-        let past = state.history.iter().map(|(_, run)| run.clone());
+        let past = state.history.iter().map(|record| record.run.clone());
         past.chain(present).collect()
     }
 
@@ -197,6 +197,12 @@
         lock(&self.state).crash_runner(host);
     }
 
+    /// Ends the runner of a host without a sign to its callers: calls get no answer, and those that it has not read wait
+    /// for the next runner of the host.
+    pub fn silence(&self, host: &str) {
+        lock(&self.state).silence_runner(host);
+    }
+
     /// Starts the runner of a host in operation that has none, with a new id or with the last one.
     pub fn restart(&self, host: &str, same_id: bool) {
         lock(&self.state).restart_runner(host, same_id);
@@ -237,7 +243,7 @@
         spawn_local(accept(listener, move |request: Request<Incoming>| {
             let state = Arc::clone(&shared);
             async move {
-                let (head, body) = split(request).await;
+                let (head, body) = split(request).await?;
                 service::serve_view(&state, view, &head, &body).await
             }
         }));
@@ -252,8 +258,8 @@
             let state = Arc::clone(&shared);
             let host = host.clone();
             async move {
-                let (head, body) = split(request).await;
-                Ok(runner::serve(&state, &host, &head, &body).await)
+                let (head, body) = split(request).await?;
+                runner::serve(&state, &host, &head, &body).await
             }
         }));
     }
@@ -263,10 +269,13 @@
     }
 }
 
-async fn split(request: Request<Incoming>) -> (hyper::http::request::Parts, Vec<u8>) {
+async fn split(
+    request: Request<Incoming>,
+) -> Result<(hyper::http::request::Parts, Vec<u8>), Closed> {
     let (head, body) = request.into_parts();
-    let body = body.collect().await.map(|body| body.to_bytes().to_vec());
-    (head, body.unwrap_or_default())
+    // A request whose connection ends before it is complete has no effect.
+    let body = body.collect().await.map_err(|_| Closed)?;
+    Ok((head, body.to_bytes().to_vec()))
 }
 
 /// Accepts connections and responds to their requests.
--- a/crates/standin/src/cluster/runner.rs
+++ b/crates/standin/src/cluster/runner.rs
@@ -6,7 +6,10 @@
         Answer,
         json, //
     },
-    service::lock,
+    service::{
+        Closed,
+        lock, //
+    },
     state::State,
 };
 use hyper::{
@@ -33,27 +36,44 @@
 
 /// Responds to a request to the runner of a host. The specification controls the task: `work=N` makes it run for N ms,
 /// `lasting` makes it run until it is stopped, and `fails` makes it fail.
-pub(super) async fn serve(state: &Mutex<State>, host: &str, head: &Parts, body: &[u8]) -> Answer {
+///
+/// # Errors
+///
+/// A call gets no answer if the incarnation that has read it ends before.
+pub(super) async fn serve(
+    state: &Mutex<State>,
+    host: &str,
+    head: &Parts,
+    body: &[u8],
+) -> Result<Answer, Closed> {
     let body: Value = serde_json::from_slice(body).unwrap_or_default();
     let expected = head.headers.get("x-sassafrascrank-expect-instance");
     let expected = expected.and_then(|id| id.to_str().ok()).unwrap_or_default();
     let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or_default());
     let begun = Instant::now();
+    // Start of the incarnation that has read the call.
+    let mut reader = None;
     loop {
         {
             let mut state = lock(state);
             let now = state.now();
-            let worker = state
-                .nodes
-                .get_mut(host)
-                .and_then(|node| node.worker.as_mut());
-            let Some(worker) = worker.filter(|worker| worker.id == expected) else {
-                return json(StatusCode::MISDIRECTED_REQUEST, &object!({}));
-            };
-            let result = execute(worker, head.uri.path(), &body, now);
-            let may_wait = head.uri.path() == "/hold" && worker.ends.is_empty();
-            if result.is_err() || !may_wait || begun.elapsed() >= wait {
-                return answer(worker, result, now);
+            let node = state.nodes.get_mut(host);
+            let silent = node.as_ref().is_some_and(|node| node.silent);
+            let worker = node.and_then(|node| node.worker.as_mut());
+            match worker {
+                Some(worker) if reader.is_some_and(|born| born != worker.born) => {
+                    return Err(Closed);
+                }
+                Some(worker) if worker.id == expected => {
+                    reader = Some(worker.born);
+                    let result = execute(worker, head.uri.path(), &body, now);
+                    let may_wait = head.uri.path() == "/hold" && worker.ends.is_empty();
+                    if result.is_err() || !may_wait || begun.elapsed() >= wait {
+                        return Ok(answer(worker, result, now));
+                    }
+                }
+                None if silent => {}
+                _ => return Ok(json(StatusCode::MISDIRECTED_REQUEST, &object!({}))),
             }
         }
         sleep(POLL_INTERVAL).await;
--- a/crates/standin/src/cluster/snapshot.rs
+++ b/crates/standin/src/cluster/snapshot.rs
@@ -12,6 +12,8 @@
 pub struct Record {
     /// Id of the runner instance.
     pub runner: String,
+    /// Start of the incarnation that carried it out, in milliseconds since the Unix epoch.
+    pub born: u64,
     /// The run; the end of one that goes on is the time of the snapshot, and its outcome is `running`.
     pub run: Execution,
 }
@@ -40,8 +42,7 @@
 
 pub(super) fn take(state: &mut State) -> Snapshot {
     let now = state.now();
-    let past = state.history.iter().cloned();
-    let mut records: Vec<Record> = past.map(|(runner, run)| Record { runner, run }).collect();
+    let mut records = state.history.clone();
     let mut nodes = Vec::new();
     for (name, node) in &mut state.nodes {
         let Some(worker) = &mut node.worker else {
@@ -57,9 +58,10 @@
             acknowledged: false,
         });
         let runs = worker.history.iter().cloned().chain(current);
-        let runner = &worker.id;
+        let (runner, born) = (&worker.id, worker.born);
         records.extend(runs.map(|run| Record {
             runner: runner.clone(),
+            born,
             run,
         }));
         let host = &state.hosts.hosts[name];
--- a/crates/standin/src/cluster/state.rs
+++ b/crates/standin/src/cluster/state.rs
@@ -1,11 +1,11 @@
 //! State that the services of a cluster share.
 
 use super::{
-    Execution,
     Hosts,
     Log,
     Network,
     Phase,
+    Record,
     View,
     Worker, //
 };
@@ -79,6 +79,8 @@
     pub(super) instances: u64,
     /// Time at which the runner leaves, if it is draining.
     pub(super) leaves_at: Option<Duration>,
+    /// Whether calls wait for the next incarnation, since the runner has crashed without a sign to its callers.
+    pub(super) silent: bool,
 }
 
 /// State of a cluster.
@@ -89,8 +91,8 @@
     pub(super) log: Log,
     pub(super) hosts: Hosts,
     pub(super) nodes: BTreeMap<String, Node>,
-    /// Ended runs of terminated runner instances, with the id of the instance.
-    pub(super) history: Vec<(String, Execution)>,
+    /// Ended runs of terminated runner instances.
+    pub(super) history: Vec<Record>,
     /// Ids of crashed runner instances, and when their records expire.
     pub(super) expiring: Vec<(String, Duration)>,
     /// Entries that have an address of their own for the log.
@@ -124,6 +126,7 @@
                 worker: None,
                 instances: 0,
                 leaves_at: None,
+                silent: false,
             };
             nodes.insert(name, node);
         }
@@ -172,6 +175,7 @@
         if let Some(node) = self.nodes.get_mut(host) {
             node.instances += 1;
             node.leaves_at = None;
+            node.silent = false;
             let id = format!("i-{host}-{}", node.instances);
             let mut worker = Worker::new(&id, unix_millis(), MAX_RUNS, 1_000, now);
             worker.lease_limit = self.lease_limit;
@@ -196,13 +200,25 @@
         }
     }
 
+    /// Ends the runner instance of a host as [`State::crash_runner`] does, and lets its calls wait for the next one.
+    pub(super) fn silence_runner(&mut self, host: &str) {
+        self.crash_runner(host);
+        if let Some(node) = self.nodes.get_mut(host) {
+            node.silent = true;
+        }
+    }
+
     /// Ends the runner instance of a host and everything that it runs. Returns its name, if there was one.
     fn end_worker(&mut self, host: &str) -> Option<String> {
         let now = self.now();
         let mut worker = self.nodes.get_mut(host)?.worker.take()?;
         worker.terminate(now);
         let runs = worker.history.drain(..);
-        let runs = runs.map(|run| (worker.id.clone(), run));
+        let runs = runs.map(|run| Record {
+            runner: worker.id.clone(),
+            born: worker.born,
+            run,
+        });
         self.history.extend(runs);
         Some(worker.id)
     }
