fix(schedule): keep that an earlier incarnation was asked for a lease

The bound of a late poll was set at the first answer of a restarted runner only if this leader had asked the incarnation just before it for a lease. After two restarts, the one between with no runs, or if the former leader had asked, a late poll gave a lease that nobody reckoned with, and a task could run twice. The runner now keeps whether it or an earlier incarnation was asked, by this leader or, for inherited runs, by a former one.

--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -168,6 +168,7 @@
             }
         }
         self.occupy(run, runner, now);
+        self.runners[runner].leased = true;
     }
 
     /// Returns the runner of an assignment, which is added if neither that incarnation nor a later one is in the service
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -126,6 +126,7 @@
         if let Some(former) = former {
             let runner = &mut self.runners[key];
             runner.accepts_earlier_orders = former.may_reach(runner.incarnation);
+            runner.leased |= former.leased;
             let longest = self.rules.longest_lease_expiry(now);
             self.extend_earlier_lease(key, former.lease_until.min(longest), now);
         }
--- a/crates/schedule/src/runner/former.rs
+++ b/crates/schedule/src/runner/former.rs
@@ -14,8 +14,8 @@
     incarnation: u64,
     /// Generation of the incarnation.
     pub generation: u16,
-    /// Whether it was asked for a lease.
-    leased: bool,
+    /// Whether it or an earlier incarnation was asked for a lease.
+    pub leased: bool,
     /// Whether it may carry out orders for an earlier incarnation that ask for a lease.
     accepts_earlier_orders: bool,
     /// Latest time at which a lease can end that a later incarnation has granted to orders for this one; in the past if there
@@ -32,7 +32,7 @@
         Self {
             incarnation: runner.incarnation,
             generation: runner.generation,
-            leased: runner.lease_ordered_at > Time::MIN,
+            leased: runner.leased,
             accepts_earlier_orders: runner.accepts_earlier_orders,
             lease_until: own.max(runner.earlier_lease_until),
             removed: now,
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -79,6 +79,8 @@
     /// Latest time at which a run can still be alive if no lease is renewed, by the leases that this incarnation was asked
     /// for.
     pub runs_until: Time,
+    /// Whether this incarnation or an earlier one was asked for a lease, by this leader or a former one.
+    pub leased: bool,
     /// When this leader last asked it for a lease.
     pub lease_ordered_at: Time,
     /// Latest time at which a lease can end that was asked for by the clock of an earlier incarnation; in the past if there
@@ -184,6 +186,7 @@
             closing: false,
             clock: None,
             runs_until,
+            leased: false,
             lease_ordered_at: Time::MIN,
             earlier_lease_until: Time::MIN,
             fenced: false,
@@ -264,6 +267,7 @@
     /// and updates [`runs_until`](Self::runs_until).
     pub fn renew_lease(&mut self, span: Duration, rules: &Rules, now: Time) -> Option<u64> {
         let until = self.clock?.estimate_ms(now) + span.as_millis() as u64;
+        self.leased = true;
         self.lease_ordered_at = now;
         self.runs_until = self.runs_until.max(self.latest_expiry(until, rules)?);
         Some(until)
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -352,3 +352,60 @@
         );
     }
 }
+
+/// Guards against a lease that a poll for an incarnation gives to the second one after it. The one between them has run nothing,
+/// and its fence is gone with it.
+#[test]
+fn lease_of_a_late_poll_is_reckoned_after_two_restarts() {
+    let mut harness = with_old_runner();
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(1_000);
+    harness.faults.hold = Some("poll");
+    harness.run_ms(100);
+    harness.engine.cancel(Id(1), harness.time());
+    harness.restart_runner("r0");
+    harness.add_line("restarted");
+    harness.run_ms(500);
+    harness.unreachable.insert("r0".to_owned());
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.run_ms(5_000);
+    harness.unreachable.clear();
+    harness.arrive();
+    harness.list_runners();
+    harness.run_ms(200);
+    harness.submit(2, vec![step(1)]);
+    harness.run_ms(100);
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "lease_of_a_late_poll_is_reckoned_after_two_restarts",
+    );
+}
+
+/// Guards against a lease that a poll of the former leader gives to a later incarnation, seconds after this leader has learned of
+/// the restart and before the later incarnation has answered it.
+#[test]
+fn lease_of_a_late_poll_of_a_former_leader_is_reckoned_from_the_first_answer() {
+    let mut harness = with_old_runner();
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(1_000);
+    harness.faults.hold = Some("poll");
+    harness.run_ms(100);
+    let outdated = harness.service_list();
+    harness.unreachable.insert("r0".to_owned());
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.take_over_with(outdated);
+    harness.run_ms(100);
+    harness.list_runners();
+    harness.run_ms(5_000);
+    harness.unreachable.clear();
+    harness.arrive();
+    harness.run_ms(400);
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "lease_of_a_late_poll_of_a_former_leader_is_reckoned_from_the_first_answer",
+    );
+}
