fix(schedule): hold no poll open for long while a run is planned

Since polls renew no lease for a planned run, one that was sent between planning and storing was held open for 0.9 s as at an idle runner of long-running tasks. If it was lost, the leader learned that after the first lease of the run, which lapsed and started again. Such a poll is now held open for 0.3 s.

--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -106,7 +106,7 @@
             let long_running = self
                 .step_spec(run.task)
                 .is_some_and(|step| step.long_running);
-            long_running && matches!(run.stage, Stage::Running | Stage::Planned)
+            long_running && run.stage == Stage::Running
         };
         let wait = match runner.runs.iter().all(is_quiet) {
             true => self.rules.poll_wait,
--- a/crates/schedule/tests/engine/contact.rs
+++ b/crates/schedule/tests/engine/contact.rs
@@ -94,3 +94,22 @@
     insta::assert_snapshot!(harness.timeline());
     assert_eq!(harness.running_count(), 1);
 }
+
+/// Guards against a run whose first lease ends because a poll that was sent before the start, and asks for no lease, is held open
+/// and gets no answer.
+#[test]
+fn run_outlives_the_loss_of_the_poll_before_its_start() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| None;
+    harness.faults.hold_polls = true;
+    // The idle runner is asked when the run has been planned and is not in the log yet.
+    harness.run_ms(2_000);
+    harness.faults.planned.push(Planned {
+        after: Duration::from_millis(600),
+        ..planned("poll", Failure::Unknown, Cause::Timeout)
+    });
+    harness.submit(1, vec![long_running(1, 1)]);
+    harness.run_ms(6_000);
+    let history = &harness.runners["r0"].worker.history;
+    assert!(history.is_empty(), "{history:?}");
+}
