refactor(schedule): name what the review stumbled over

A rejected copy of a start for an earlier incarnation no longer stops a run that the later one has listed. Names and comments of the fence, of the address and of earlier orders say what they hold.

--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -125,7 +125,7 @@
         answer: Answer<View>,
         now: Time,
     ) {
-        let answer = self.discard_outdated(key, answer);
+        let answer = self.unknown_if_outdated(key, answer);
         let Some(runner) = self.runners.get_mut(key) else {
             return;
         };
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -75,10 +75,15 @@
         }
     }
 
-    /// Drops the answer of another runner at an address that the runner may have left since. The runner may have got an
-    /// earlier copy of the order.
-    pub(super) fn discard_outdated<T>(&self, key: runner::Key, mut answer: Answer<T>) -> Answer<T> {
-        let left = |runner: &Runner| answer.sent < runner.readdressed + self.rules.order_limit;
+    /// Returns the answer as none if it is that of another runner at an address that the runner may have left since. The runner
+    /// may have got an earlier copy of the order.
+    pub(super) fn unknown_if_outdated<T>(
+        &self,
+        key: runner::Key,
+        mut answer: Answer<T>,
+    ) -> Answer<T> {
+        let left =
+            |runner: &Runner| answer.sent < runner.address_changed_at + self.rules.order_limit;
         if matches!(answer.result, Err(Failure::Replaced))
             && self.runners.get(key).is_some_and(left)
         {
@@ -100,7 +105,7 @@
             .runs
             .get(key)
             .is_some_and(|run| self.repeats_start(run));
-        let answer = self.discard_outdated(ordered_to, answer);
+        let answer = self.unknown_if_outdated(ordered_to, answer);
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -129,6 +134,7 @@
             }
             Err(Failure::Fenced) if !restarted => self.superseded = true,
             // The later incarnation rejects this copy. An earlier one that got no answer may have been carried out.
+            Err(Failure::Fenced) if run.listed => {}
             Err(Failure::Fenced) if repeats => self.doubt_start(key, Failure::Fenced, now),
             Err(Failure::Fenced) => {
                 let run = run.clone();
@@ -204,7 +210,7 @@
         answer: Answer<()>,
         now: Time,
     ) {
-        let answer = self.discard_outdated(runner_key, answer);
+        let answer = self.unknown_if_outdated(runner_key, answer);
         self.read_clock(runner_key, answer.clock, now);
         match answer.result {
             Ok(()) => {
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -86,7 +86,7 @@
         runner.listed = true;
         let former = runner.address.filter(|former| *former != listed.address);
         if former.is_some() {
-            runner.readdressed = now;
+            runner.address_changed_at = now;
         }
         runner.address = Some(listed.address);
         runner.capacity = listed.capacity;
@@ -125,7 +125,7 @@
         };
         if let Some(former) = former {
             let runner = &mut self.runners[key];
-            runner.accepts_earlier_orders = former.may_reach(runner.incarnation);
+            runner.accepts_earlier_orders = former.next_accepts_earlier_orders(runner.incarnation);
             runner.leased |= former.leased;
             let longest = self.rules.longest_lease_expiry(now);
             self.extend_earlier_lease(key, former.lease_until.min(longest), now);
--- a/crates/schedule/src/runner/former.rs
+++ b/crates/schedule/src/runner/former.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Returns whether an incarnation may carry out orders for an earlier one that ask for a lease.
-    pub const fn may_reach(self, incarnation: u64) -> bool {
+    /// Returns whether the next incarnation, which began then, may carry out orders for an earlier one that ask for a lease.
+    pub const fn next_accepts_earlier_orders(self, incarnation: u64) -> bool {
         self.accepts_earlier_orders || (self.leased && incarnation > self.incarnation)
     }
 }
--- a/crates/schedule/src/runner/runner.rs
+++ b/crates/schedule/src/runner/runner.rs
@@ -45,7 +45,7 @@
     /// Address for orders; `None` if the runner is known from the log only.
     pub address: Option<SocketAddr>,
     /// When this address has replaced another one; [`Time::MIN`] if none.
-    pub readdressed: Time,
+    pub address_changed_at: Time,
     /// All labels.
     pub labels: Box<[Arc<str>]>,
     /// Availability zone.
@@ -169,7 +169,7 @@
             host: Arc::clone(&nothing),
             pool,
             address: None,
-            readdressed: Time::MIN,
+            address_changed_at: Time::MIN,
             labels: Box::default(),
             zone: Arc::clone(&nothing),
             rack: nothing,
--- a/crates/standin/src/cluster/worker.rs
+++ b/crates/standin/src/cluster/worker.rs
@@ -42,7 +42,7 @@
     pub attempt: u32,
     /// End of the lease by the worker's clock, in milliseconds.
     pub until: u64,
-    /// Epoch of the leader.
+    /// Fence of the order.
     pub fence: u64,
     /// Duration of the task; `None` if it runs until it is stopped.
     pub duration: Option<Duration>,
