fix(schedule): allow for the time in which an order to a host is sent

A runner that began within the second in which the order to its host may be sent can have ended by that order, so its end is no crash.

--- a/crates/schedule/src/engine/host.rs
+++ b/crates/schedule/src/engine/host.rs
@@ -43,7 +43,7 @@
 /// Time within which an order has to be sent after the time that the log states for it. A new leader gives the host no
 /// order for [`Rules::host_lease`](crate::Rules::host_lease) and a margin from that time, which also has to cover a
 /// call without an answer.
-const SEND_LIMIT: Duration = Duration::from_millis(1_000);
+pub(super) const SEND_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time after a failed order during which the host gets no other.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Time within which the host list reflects an order that was carried out.
--- a/crates/schedule/src/engine/suspicion.rs
+++ b/crates/schedule/src/engine/suspicion.rs
@@ -9,6 +9,7 @@
         CRASH_LIMIT,
         SERIES_LIMIT, //
     },
+    host::SEND_LIMIT,
     loss::Loss, //
 };
 use crate::{
@@ -81,12 +82,12 @@
     }
 
     /// Tells whether a former leader has ordered a host to move or to begin its maintenance, so that an incarnation of its
-    /// runner may have ended by that. One that began later has not.
+    /// runner may have ended by that. One that began after the order was sent has not.
     pub(super) fn was_ordered_away(&self, host: &str, incarnation: u64, now: Time) -> bool {
         let effect = self.rules.host_lease + self.rules.move_time;
         let ordered = self.fleet.former_orders.get(host);
         let began = Time::from_millis(incarnation);
-        ordered.is_some_and(|&at| now.since(at) < effect && began <= at)
+        ordered.is_some_and(|&at| now.since(at) < effect && began <= at + SEND_LIMIT)
     }
 
     /// Returns the suspicions against a task.
