--- a/crates/schedule/tests/engine/harness/mod.rs
+++ b/crates/schedule/tests/engine/harness/mod.rs
@@ -4,6 +4,7 @@
 mod fault;
 mod fixture;
 mod harness;
+mod restart;
 mod takeover;
 
 pub(crate) use fault::Planned;
