fix(schedule): let a leader that stood still catch up before it gives runs up

A task ran twice at once: its leader stood still for 3.4 s while the runner restarted under its id and began the run. After half a second without a tick, leases now end only once the leader has had half a second to handle what came meanwhile.

--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -114,6 +114,10 @@
     pub(super) notes: Vec<Note>,
     /// When the tiers of jobs were last updated.
     pub(super) tiers_updated: Time,
+    /// When the last tick was.
+    pub(super) ticked_at: Time,
+    /// When this process went on after it had stood still, until it has caught up.
+    pub(super) resumed_at: Option<Time>,
     /// When slow runners were last searched for.
     pub(super) stragglers_checked: Time,
     /// Number of the last search among those that together cover all runners.
@@ -157,6 +161,8 @@
             orders: Vec::new(),
             notes: Vec::new(),
             tiers_updated: now,
+            ticked_at: now,
+            resumed_at: None,
             stragglers_checked: now,
             straggler_round: 0,
             superseded: false,
--- a/crates/schedule/src/engine/tick.rs
+++ b/crates/schedule/src/engine/tick.rs
@@ -10,6 +10,12 @@
 };
 use sassafrascrank_base::prelude::*;
 
+/// Time between two ticks that shows that this process stood still.
+const STANDSTILL: Duration = Duration::from_millis(500);
+/// Time after a standstill in which the service list and the answers that came meanwhile are handled. Before that, a runner whose
+/// lease seems to have ended may have restarted.
+const CATCH_UP: Duration = Duration::from_millis(500);
+
 /// What a leader may do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Permission {
@@ -28,7 +34,9 @@
         let may_start = permission == Permission::Start;
         let may_order = permission != Permission::Observe;
         self.open_repeated(wall, now);
-        self.expire_leases(now);
+        if self.has_caught_up(now) {
+            self.expire_leases(now);
+        }
         self.close_findings(now);
         if may_order {
             if may_start {
@@ -49,6 +57,19 @@
         self.poll_runners(may_order, now);
     }
 
+    /// Tells whether what came while this process stood still has been handled. A process whose ticks are always slow has caught
+    /// up at every second one.
+    fn has_caught_up(&mut self, now: Time) -> bool {
+        let stood_still = now.since(self.ticked_at) > STANDSTILL;
+        self.ticked_at = now;
+        match self.resumed_at {
+            None if stood_still => self.resumed_at = Some(now),
+            Some(at) if now.since(at) >= CATCH_UP => self.resumed_at = None,
+            _ => {}
+        }
+        self.resumed_at.is_none()
+    }
+
     fn open_repeated(&mut self, wall: Time, now: Time) {
         let repeated = |active: &job::ActiveJob| {
             active.outcome.is_none() && active.next < active.job.occurrences()
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -320,6 +320,27 @@
     insta::assert_snapshot!(harness.timeline());
 }
 
+/// Guards against a second run of a task whose runner restarted while the leader stood still. The leader has the lease of the
+/// earlier incarnation for ended before it handles the service list.
+#[test]
+fn leader_that_stood_still_learns_of_restarts_before_it_gives_up_runs() {
+    let mut harness = with_old_runner();
+    harness.faults.hold = Some("start");
+    harness.submit(1, vec![step(1)]);
+    harness.decide();
+    harness.restart_unlisted("r0");
+    harness.arrive();
+    harness.add_line("restarted");
+    cut(&mut harness);
+    harness.now += Duration::from_millis(3_500);
+    harness.decide();
+    harness.list_runners();
+    check(
+        &mut harness,
+        "leader_that_stood_still_learns_of_restarts_before_it_gives_up_runs",
+    );
+}
+
 /// Guards against a leader that takes the rejection of an order for an earlier incarnation for that of a later leader, and gives
 /// up the lead.
 #[test]
