--- a/crates/schedule/src/config/rules.rs
+++ b/crates/schedule/src/config/rules.rs
@@ -78,7 +78,7 @@
     /// Returns the time by which every lease has ended that was ordered at `ordered` or before, even if the order named its
     /// end by the clock of an earlier incarnation. The clock of a later one starts anew.
     pub fn longest_lease_expiry(&self, ordered: Time) -> Time {
-        self.expiry(self.lease_limit, ordered + self.order_limit)
+        self.granted_lease_expiry(ordered + self.order_limit)
     }
 
     /// Returns the time by which every lease has ended that a runner had granted by `granted`.
--- a/crates/schedule/src/runner/former.rs
+++ b/crates/schedule/src/runner/former.rs
@@ -52,12 +52,8 @@
     }
 
     /// Returns the generation of the next incarnation, which may be the same one if it was only removed.
-    pub const fn next_generation(self) -> u16 {
-        if self.generation < MAX_GENERATION {
-            self.generation + 1
-        } else {
-            MAX_GENERATION
-        }
+    pub fn next_generation(self) -> u16 {
+        (self.generation + 1).min(MAX_GENERATION)
     }
 
     /// Returns whether the next incarnation, which began then, may carry out orders for an earlier one that ask for a lease.
--- a/crates/schedule/tests/engine/address.rs
+++ b/crates/schedule/tests/engine/address.rs
@@ -49,6 +49,14 @@
     });
 }
 
+/// Runs until another runner has answered a call, and then lists the first one at another address.
+fn readdress_after_answer(harness: &mut Harness) {
+    while harness.faults.planned[0].count > 0 {
+        harness.run_ms(20);
+    }
+    readdress(harness);
+}
+
 /// Lists the first runner at another address.
 fn readdress(harness: &mut Harness) {
     let runner = harness.runners.get_mut("r0").expect("the runner exists");
@@ -63,10 +71,7 @@
     let mut harness = with_runs();
     harness.run_ms(200);
     answer_for_another(&mut harness, "poll", 1);
-    while harness.faults.planned[0].count > 0 {
-        harness.run_ms(20);
-    }
-    readdress(&mut harness);
+    readdress_after_answer(&mut harness);
     harness.run_ms(2_000);
     assert_eq!(harness.overlaps(), 0, "{}", harness.timeline());
     assert_eq!(harness.running("r0").len(), 3, "{}", harness.timeline());
@@ -80,10 +85,7 @@
     harness.run_ms(200);
     answer_for_another(&mut harness, "start", 1);
     submit(&mut harness, 2);
-    while harness.faults.planned[0].count > 0 {
-        harness.run_ms(20);
-    }
-    readdress(&mut harness);
+    readdress_after_answer(&mut harness);
     harness.unreachable.clear();
     harness.run_ms(2_000);
     assert_eq!(harness.overlaps(), 0, "{}", harness.timeline());
@@ -102,10 +104,7 @@
     harness.run_ms(200);
     answer_for_another(&mut harness, "stop", 1);
     harness.engine.cancel(cancelled.id, harness.time());
-    while harness.faults.planned[0].count > 0 {
-        harness.run_ms(20);
-    }
-    readdress(&mut harness);
+    readdress_after_answer(&mut harness);
     harness.run_ms(2_000);
     assert_eq!(harness.overlaps(), 0, "{}", harness.timeline());
     assert_eq!(harness.running("r0").len(), 3, "{}", harness.timeline());
--- a/crates/schedule/tests/engine/foreign.rs
+++ b/crates/schedule/tests/engine/foreign.rs
@@ -50,6 +50,16 @@
     harness.add_line("entry");
 }
 
+/// Lets a new leader take over that reads an entry in place of that of the first runner, while another one has room.
+fn take_over_with(harness: &mut Harness, entry: Listed) {
+    harness.add_runner("r2", "pool", "rack1");
+    harness.run_ms(200);
+    let mut list = harness.service_list();
+    list.retain(|listed| *listed.id != *"r0");
+    list.push(entry);
+    harness.take_over_with(list);
+}
+
 /// Checks that all runs go on where they are.
 fn check_runs(harness: &Harness) {
     assert_eq!(harness.overlaps(), 0, "{}", harness.timeline());
@@ -74,12 +84,7 @@
 fn entry_of_an_unknown_service_does_not_end_inherited_runs() {
     let mut harness = with_runs();
     let entry = entry(&mut harness, "agent", "agents");
-    harness.add_runner("r2", "pool", "rack1");
-    harness.run_ms(200);
-    let mut list = harness.service_list();
-    list.retain(|listed| *listed.id != *"r0");
-    list.push(entry);
-    harness.take_over_with(list);
+    take_over_with(&mut harness, entry);
     harness.run_ms(20);
     harness.list_runners();
     harness.run_ms(2_000);
@@ -115,12 +120,7 @@
     let mut harness = with_runs();
     let entry = entry(&mut harness, "r0", "agents");
     harness.unreachable.clear();
-    harness.add_runner("r2", "pool", "rack1");
-    harness.run_ms(200);
-    let mut list = harness.service_list();
-    list.retain(|listed| *listed.id != *"r0");
-    list.push(entry);
-    harness.take_over_with(list);
+    take_over_with(&mut harness, entry);
     harness.run_ms(500);
     harness.list_runners();
     harness.run_ms(10_000);
