test(review): show that a start of a runner's former life runs beside a later attempt

A start that a runner has left unanswered is carried out by its next life, whose clock starts anew, after the run has been given up and started elsewhere. The case of a job that fails because its runner crashes three times is dropped, since review/8 shows it.

--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -143,6 +143,10 @@
     /// Number of the present life, and whether calls of it get no answer since it has ended silently.
     number: AtomicU64,
     dark: AtomicBool,
+    /// Number of further starts that are left unanswered until the next life, which carries them out.
+    hold: AtomicU64,
+    /// Whether a start is held.
+    held: AtomicBool,
     life: Mutex<Option<Life>>,
     changed: Condvar,
     journal: Arc<Journal>,
@@ -160,6 +164,15 @@
     1_000 + life.began.elapsed().as_millis() as u64
 }
 
+/// Takes one from a number, unless it is 0.
+fn take_one(number: &AtomicU64) -> bool {
+    number
+        .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |number| {
+            number.checked_sub(1)
+        })
+        .is_ok()
+}
+
 /// The work of a task follows from its specification: `work=MS`.
 fn work(spec: &str) -> Duration {
     let millis = spec
@@ -450,6 +463,8 @@
             kind,
             number: AtomicU64::new(0),
             dark: AtomicBool::new(false),
+            hold: AtomicU64::new(0),
+            held: AtomicBool::new(false),
             life: Mutex::new(Some(new_life())),
             changed: Condvar::new(),
             journal,
@@ -485,13 +500,17 @@
     fn serve(&self, listener: TcpListener) {
         let state = Arc::clone(&self.state);
         let number = state.number.load(Ordering::SeqCst);
-        let handle = move |request| {
-            // The server of an earlier life sends no answer any more.
-            while state.dark.load(Ordering::SeqCst) && state.number.load(Ordering::SeqCst) == number
-            {
-                thread::sleep(Duration::from_millis(5));
+        let handle = move |request: Request| {
+            let present = || state.number.load(Ordering::SeqCst) == number;
+            // One start is left unanswered, and waits for the next life, which carries it out.
+            let held = request.path == "/run-start" && present() && take_one(&state.hold);
+            if held {
+                state.held.store(true, Ordering::SeqCst);
             }
-            match state.number.load(Ordering::SeqCst) == number {
+            while present() && (held || state.dark.load(Ordering::SeqCst)) {
+                thread::sleep(Duration::from_millis(2));
+            }
+            match held || present() {
                 true => state.handle(request),
                 false => answer(503, "{}"),
             }
@@ -521,6 +540,16 @@
         self.store.put("keyed.servers", &kind.id, &entry);
     }
 
+    /// Leaves the next start unanswered. The next life of the runner carries it out.
+    pub fn hold_start(&self) {
+        self.state.hold.store(1, Ordering::SeqCst);
+    }
+
+    /// Tells whether a start is held.
+    pub fn holds_start(&self) -> bool {
+        self.state.held.load(Ordering::SeqCst)
+    }
+
     /// Ends the runner without a word, so that calls wait: what runs there is lost.
     pub fn go_dark(&self) {
         self.state.dark.store(true, Ordering::SeqCst);
@@ -560,9 +589,11 @@
         if let Some(server) = self.server.lock().unwrap().take() {
             server.end();
         }
+        *self.state.life.lock().unwrap() = Some(new_life());
         self.state.number.fetch_add(1, Ordering::SeqCst);
         self.state.dark.store(false, Ordering::SeqCst);
-        *self.state.life.lock().unwrap() = Some(new_life());
+        // A process takes a while until it listens. What has waited comes first.
+        thread::sleep(Duration::from_millis(20));
         for _ in 0..200 {
             if let Ok(listener) = TcpListener::bind(self.address) {
                 self.serve(listener);
--- a/review/standin-3/scenes.rs
+++ b/review/standin-3/scenes.rs
@@ -1,9 +1,6 @@
 //! The scenes. Each returns 1 if the rule was broken, 0 if it held, and 2 if it could not be played.
 
-use crate::{
-    runner::Kind,
-    site::{Handed, Site},
-};
+use crate::{runner::Kind, site::Site};
 use std::{
     thread,
     time::{Duration, Instant},
@@ -11,7 +8,7 @@
 
 pub fn play(scene: &str, folder: &str, trouble: bool) -> i32 {
     let played = match scene {
-        "flap" => flap(folder, trouble),
+        "late" => late(folder, trouble),
         "dropped" => dropped(folder, trouble),
         "advised" => advised(folder, trouble),
         "reborn" => reborn(folder, trouble),
@@ -80,56 +77,6 @@
     false
 }
 
-/// A pool of 9 runners is full, and a job waits. A tenth runner joins, and goes down and up by turns three times. No task ends
-/// as failed, and no job may be shown as failed.
-fn flap(folder: &str, trouble: bool) -> Option<bool> {
-    const RUNNERS: usize = 10;
-    let routes = [route("quick-quote", "quoting", false)];
-    let mut all = kinds("quoting", RUNNERS, false);
-    let late = all.pop()?;
-    let site = Site::start(folder, all, &config(1, &routes, "quoting"))?;
-    pause(3.0);
-    // Two tasks for each runner, which take 60 of its 64 cores.
-    let body = job("work=14000", &[step(2, 30_000, 8_000, 14_000, "")]);
-    let mut jobs: Vec<Handed> = Vec::new();
-    for number in 0..RUNNERS {
-        jobs.push(site.submit("quick-quote", &format!("00000000000000a{number:x}"), &body));
-    }
-    let running = || jobs.iter().filter(|job| site.running(&job.id) == 2).count();
-    if jobs.iter().any(|job| job.accepted.is_none()) || !wait(5.0, || running() == RUNNERS - 1) {
-        site.finish("not played: the jobs did not start");
-        return None;
-    }
-    pause(2.0);
-    site.note("a tenth runner joins");
-    let runner = site.join(late);
-    for _ in 0..if trouble { 3 } else { 0 } {
-        pause(0.5);
-        site.note("the tenth runner goes down");
-        runner.crash();
-        pause(0.5);
-        site.note("the tenth runner comes up again under its id");
-        runner.restart();
-    }
-    pause(22.0);
-    let mut wrong = Vec::new();
-    for job in &jobs {
-        let (state, failed) = (site.state(job), site.count(&job.id, "failed"));
-        if matches!(state.as_str(), "failed" | "cancelled") {
-            wrong.push(format!(
-                "{} is shown as {state} with {failed} ends failed",
-                job.id
-            ));
-        }
-    }
-    let broken = !wrong.is_empty();
-    site.finish(&match broken {
-        true => format!("LOST broken: {}", wrong.join("; ")),
-        false => "LOST held: no job is shown as failed or cancelled".to_owned(),
-    });
-    Some(broken)
-}
-
 /// The route of an advised queue is dropped while a job of it is at work. Then all processes are killed and started again.
 fn dropped(folder: &str, trouble: bool) -> Option<bool> {
     let (kept, advised) = (
@@ -377,3 +324,42 @@
     });
     Some(broken)
 }
+
+/// A runner leaves one start of a job of 20 tasks unanswered. Just after it has come, the runner is cut off, and ends behind the cut.
+/// At the end of the cut, 5.4 s later, it has started again under its id, and carries out that start.
+fn late(folder: &str, trouble: bool) -> Option<bool> {
+    let routes = [route("quick-quote", "quoting", false)];
+    let site = Site::start(
+        folder,
+        kinds("quoting", 8, false),
+        &config(1, &routes, "quoting"),
+    )?;
+    pause(5.0);
+    let runner = std::sync::Arc::clone(&site.runners.lock().unwrap()[2]);
+    if trouble {
+        runner.hold_start();
+    }
+    let body = job("work=8000", &[step(20, 20_000, 8_000, 8_000, "")]);
+    let handed = site.submit("quick-quote", "00000000000000aa", &body);
+    if handed.accepted.is_none() || (trouble && !wait(3.0, || runner.holds_start())) {
+        site.finish("not played: the job was not accepted, or the runner got no start");
+        return None;
+    }
+    if trouble {
+        site.note("a runner has left a start unanswered, is cut off, and ends");
+        runner.go_dark();
+        pause(5.4);
+        site.note("the cut is over, and the runner has started again under its id");
+        runner.restart();
+    }
+    if !wait(40.0, || site.state(&handed) == "done") {
+        site.note("the job is not done in time");
+    }
+    let twice = site.overlaps();
+    let broken = !twice.is_empty();
+    site.finish(&match broken {
+        true => format!("TWICE broken: {}", twice.join("; ")),
+        false => "TWICE held: no task had two runs at the same time".to_owned(),
+    });
+    Some(broken)
+}
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -354,6 +354,28 @@
         self.store.epochs()
     }
 
+    /// Starts of tasks that ran at the same time elsewhere, in words. What runs on a runner ends with it.
+    pub fn overlaps(&self) -> Vec<String> {
+        let events = self.journal.events.lock().unwrap();
+        let mut open: HashMap<&str, Vec<(&str, u64, f64)>> = HashMap::new();
+        let mut found = Vec::new();
+        for event in events.iter() {
+            let runs = open.entry(&event.task).or_default();
+            if event.what != "start" {
+                runs.retain(|run| (run.0, run.1) != (event.runner.as_str(), event.attempt));
+                continue;
+            }
+            for (runner, attempt, since) in runs.iter() {
+                found.push(format!(
+                    "{} attempt {} starts on {} at {:.3} s, while attempt {attempt} runs on {runner} since {since:.3} s",
+                    event.task, event.attempt, event.runner, event.at
+                ));
+            }
+            runs.push((&event.runner, event.attempt, event.at));
+        }
+        found
+    }
+
     /// Time from the acceptance of a job until its first start, in words.
     pub fn starts(&self, job: &Handed) -> String {
         let events = self.journal.events.lock().unwrap();
