fix(schedule): wait for starts without an answer at silent runners

Callers' tasks ran twice for up to half a second: a start that got no answer was given up when the lease of the runner's incarnation had ended, its task started elsewhere, and the next incarnation of the runner carried the start out before it had answered anybody. Its clock begins anew, so the end of the lease that the start names does not void it, and it has seen no fence.

A task whose start got no answer now stays without a run while that runner is silent: until the runner answers, or for 12 s after the start was sent, in which the users' platform carries orders out; 6 s for long-running tasks, which have to run again 7 s after a fault. The run itself is given up as before, so capacity, caps, waves and counted crashes do not wait. It holds for every way in which a run is given up (lease ended, another runner at the address, restarts, further copies of a repeated start) and for runs of a former leader that the log lacks as settled. A run that a runner lists although it was given up belongs to its task until it has ended, and goes on if the task has no other.

The simulation leaves a late start out of account only if an earlier incarnation has answered since it was sent, and an answer of a later incarnation no longer tells of what an earlier one ran.

Tests that are about leases alone do without the new wait, so that they still show a lease that is too short.

--- a/crates/control/src/control/lead.rs
+++ b/crates/control/src/control/lead.rs
@@ -222,6 +222,10 @@
         let takeover = Takeover {
             epoch: claim.epoch,
             runs_until: self.runs_until(),
+            observed: match claim.predecessor {
+                Predecessor::None => Time::MIN,
+                _ => self.predecessor_observed,
+            },
             hosts: self.replica.host_orders().clone(),
             leases: self.replica.leases().clone(),
         };
--- a/crates/control/tests/executor/main.rs
+++ b/crates/control/tests/executor/main.rs
@@ -74,6 +74,7 @@
     let takeover = Takeover {
         epoch: EPOCH,
         runs_until: Time::MIN,
+        observed: Time::MIN,
         hosts: HashMap::new(),
         leases: HashMap::new(),
     };
--- a/crates/control/tests/lead.rs
+++ b/crates/control/tests/lead.rs
@@ -334,24 +334,25 @@
 /// Guards against an entry that starts a task again that another leader has started, because it has read the records of
 /// that leader only after its own claim. The task may run at an unreachable runner until its lease has ended, which a
 /// leader that has not resigned may still renew, and until the time that the other leader has written for the runs of
-/// leaders before it.
+/// leaders before it. A later incarnation of the runner may carry out a start that got no answer.
 #[test]
 fn entry_waits_for_the_leases_of_a_leader_that_it_reads_of_after_its_claim() {
     let later = START + Duration::from_secs(15);
     let cases = [
-        ("leader", false, Time::MIN),
-        ("resigned leader", true, Time::MIN),
-        ("resigned leader after another one", true, later),
+        ("leader", true, false, Time::MIN),
+        ("resigned leader", true, true, Time::MIN),
+        ("resigned leader after another one", true, true, later),
+        ("resigned leader, start in doubt", false, true, Time::MIN),
     ];
     let mut report = String::new();
-    for (name, resigned, runs_until) in cases {
+    for (name, answered, resigned, runs_until) in cases {
         let mut harness = Harness::new();
         harness.unreachable = vec!["r0"];
         let claim = harness.run_until(|harness| harness.epoch > 0);
         let own = core::mem::take(&mut harness.unread);
         harness.append([
             job(1),
-            planned(1, FIRST_EPOCH, "r0", true),
+            planned(1, FIRST_EPOCH, "r0", answered),
             leader(FIRST_EPOCH, resigned, runs_until),
         ]);
         harness.append(own);
--- a/crates/control/tests/simulation/contact.rs
+++ b/crates/control/tests/simulation/contact.rs
@@ -18,18 +18,27 @@
 pub(super) struct Contact {
     /// When it began, if it has started under the name of an earlier one and no leader has had the time to reach it.
     unreached_since: Option<Duration>,
+    /// When an earlier incarnation last answered a poll.
+    answered_earlier: Option<Duration>,
     /// Entry, its incarnation and the time of each answered poll.
     answers: Vec<(usize, u64, Duration)>,
 }
 
 impl Contact {
     /// Creates that of an incarnation that begins at `now`, perhaps under the name of an earlier one.
-    pub(super) fn new(renamed: bool, now: Duration) -> Self {
+    pub(super) fn new(renamed: bool, answered_earlier: Option<Duration>, now: Duration) -> Self {
         Self {
             unreached_since: (!renamed).then_some(now),
+            answered_earlier,
             answers: Vec::new(),
         }
     }
+
+    /// Returns when this incarnation or an earlier one last answered a poll.
+    pub(super) fn answered(&self) -> Option<Duration> {
+        let latest = self.answers.iter().map(|&(_, _, at)| at).max();
+        latest.or(self.answered_earlier)
+    }
 }
 
 /// A start that no leader can prevent.
@@ -38,7 +47,9 @@
     attempt: u32,
     began: Duration,
     runner: usize,
-    /// When the runner has next answered a poll.
+    /// Incarnation of the runner that has carried it out.
+    incarnation: u64,
+    /// When that incarnation has next answered a poll.
     shown: Option<Duration>,
 }
 
@@ -68,25 +79,32 @@
         let now = self.now;
         let answer = (entry, incarnation, now);
         self.runners[runner].contact.answers.push(answer);
+        // A later incarnation does not know what an earlier one ran.
+        let present = (runner, self.runners[runner].incarnation);
         let starts = self.late_starts.iter_mut();
-        for start in starts.filter(|start| start.runner == runner) {
+        for start in starts.filter(|start| (start.runner, start.incarnation) == present) {
             start.shown.get_or_insert(now);
         }
     }
 
     /// Notes a start that no leader can prevent: it was sent before this incarnation of the runner began, and arrives seconds
-    /// late, before a leader could reach that. Until then no order tells it from one for the earlier incarnation.
+    /// late, before a leader could reach that. Until then no order tells it from one for the earlier incarnation. The earlier
+    /// one had answered meanwhile, so that the leader no longer waits for the start.
     pub(super) fn note_start(&mut self, runner: usize, order: &Order, sent: Duration) {
-        let since = self.runners[runner].contact.unreached_since;
+        let contact = &self.runners[runner].contact;
+        let since = contact.unreached_since;
+        let has_answered = contact.answered_earlier.is_some_and(|at| sent < at);
         if let Order::Start(start) = order
             && self.now > sent + Rules::default().order_limit
             && since.is_some_and(|began| sent < began)
+            && has_answered
         {
             self.late_starts.push(LateStart {
                 task: start.task.to_string(),
                 attempt: start.attempt,
                 began: self.now,
                 runner,
+                incarnation: self.runners[runner].incarnation,
                 shown: None,
             });
         }
--- a/crates/control/tests/simulation/entry.rs
+++ b/crates/control/tests/simulation/entry.rs
@@ -120,6 +120,7 @@
         let mut rules = Rules::default();
         if !self.scenario.waits_for_leases {
             rules.leader_lease = Duration::ZERO;
+            rules.start_limit = Duration::ZERO;
         }
         self.control = Some(Control::new(identity, lead, rules, RETENTION, now));
         self.read_delay = (Duration::ZERO, Duration::ZERO);
--- a/crates/control/tests/simulation/event.rs
+++ b/crates/control/tests/simulation/event.rs
@@ -3,7 +3,8 @@
 use super::{
     Simulation,
     TICK,
-    contact::Contact, //
+    contact::Contact,
+    order::Delivery, //
 };
 use core::cmp::Ordering;
 use rand::RngExt;
@@ -55,8 +56,8 @@
         sent: Duration,
         /// The order.
         order: Envelope<Order>,
-        /// Whether the answer is lost.
-        silent: bool,
+        /// How it is delivered.
+        delivery: Delivery,
     },
     /// An append of an entry arrives at the log.
     Append(usize, u64),
@@ -167,8 +168,8 @@
                 incarnation,
                 sent,
                 order,
-                silent,
-            } => self.carry_out(entry, incarnation, sent, order, silent),
+                delivery,
+            } => self.carry_out(entry, incarnation, sent, order, delivery),
             Event::Append(entry, incarnation) => self.append(entry, incarnation),
             Event::Accept(entry, incarnation, token) => self.accept(entry, incarnation, token),
             Event::Submit(index) => self.submit(index),
@@ -279,7 +280,7 @@
         );
         worker.set_fenced(fences);
         runner.worker = worker;
-        runner.contact = Contact::new(renamed, now);
+        runner.contact = Contact::new(renamed, runner.contact.answered(), now);
         match renamed {
             true => self.list_to_all(),
             // Until then, orders for the earlier incarnation reach the later one.
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -81,7 +81,8 @@
     pub(crate) jobs: usize,
     /// Whether runners reject orders of former leaders.
     pub(crate) fences: bool,
-    /// Whether a new leader waits for the leases of attempts at runners that it can't reach.
+    /// Whether a new leader waits for the leases of attempts at runners that it can't reach, and for starts that a later
+    /// incarnation of these may carry out.
     pub(crate) waits_for_leases: bool,
     /// Share of orders that are carried out seconds late and without an answer.
     pub(crate) late_orders: f64,
@@ -101,6 +102,9 @@
     /// Number of times that a runner starts again under its name and is cut off soon after. Tasks are longer then, so that
     /// they outlast the leases of runners.
     pub(crate) cut_restarts: usize,
+    /// Number of times that a runner is cut off and starts again under its name behind the cut. Late orders wait at the runners
+    /// then, so that a cut does not stop them.
+    pub(crate) dark_restarts: usize,
     /// Number of times that the log drops its history.
     pub(crate) expiries: usize,
     /// Largest number of records that a read of the log returns at once.
@@ -125,6 +129,7 @@
             read_delay_ms: (500, 6_500),
             answer_delay_ms: None,
             cut_restarts: 0,
+            dark_restarts: 0,
             expiries: 0,
             page_limit: usize::MAX,
             caps: None,
@@ -373,6 +378,19 @@
             let until = (cut + self.millis(1_000, 9_000)).min(FAULTS_END + LATE_CUTS);
             self.push(cut, Event::CutRunnerFromAll { runner, until });
         }
+        for _ in 0..self.scenario.dark_restarts {
+            let cut = self.millis(1_000, 6_500);
+            let lasts = self.millis(800, 5_500);
+            let crash = cut + self.millis(0, lasts.as_millis() as u64);
+            let until = (cut + lasts).min(FAULTS_END);
+            let runner = self.rng.random_range(0..self.scenario.workers);
+            self.push(cut, Event::CutRunnerFromAll { runner, until });
+            let crashed = Event::Crash {
+                runner,
+                renamed: false,
+            };
+            self.push(crash, crashed);
+        }
         for _ in 0..self.scenario.expiries {
             let at = self.millis(500, 9_000);
             self.push(at, Event::Expire);
--- a/crates/control/tests/simulation/order.rs
+++ b/crates/control/tests/simulation/order.rs
@@ -32,6 +32,17 @@
 /// Longest time that an order takes to arrive, or its answer, if neither is late, in milliseconds.
 const CALL_MS: u64 = 5;
 
+/// How an order is delivered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Delivery {
+    /// Its answer arrives, unless the runner is cut off.
+    Answered,
+    /// Its answer is lost.
+    Unanswered,
+    /// It waits at the runner, or at the next incarnation of it, and gets no answer. A cut does not stop it.
+    Waiting,
+}
+
 impl Simulation {
     /// Sends an order, which may be late or lose its answer.
     pub(super) fn order(&mut self, entry: usize, order: Envelope<Order>) {
@@ -41,12 +52,17 @@
         let faulty = self.faulty();
         let late = faulty && self.rng.random_bool(self.scenario.late_orders);
         let silent = late || (faulty && self.rng.random_bool(0.03));
-        let order_event = |silent, order| Event::Order {
+        let delivery = match silent {
+            _ if late && self.scenario.dark_restarts > 0 => Delivery::Waiting,
+            true => Delivery::Unanswered,
+            false => Delivery::Answered,
+        };
+        let order_event = |order| Event::Order {
             entry,
             incarnation,
             sent,
             order,
-            silent,
+            delivery,
         };
         if silent {
             let report = failure(order.content(), sent, Failure::Unknown);
@@ -55,7 +71,7 @@
             self.push(at, Event::Report(entry, incarnation, report));
         }
         let (from, to) = if late { (1_500, 6_000) } else { (1, 5) };
-        self.push_after(from, to, order_event(silent, order));
+        self.push_after(from, to, order_event(order));
     }
 
     pub(super) fn carry_out(
@@ -64,8 +80,10 @@
         incarnation: u64,
         sent: Duration,
         order: Envelope<Order>,
-        silent: bool,
+        delivery: Delivery,
     ) {
+        let silent = delivery != Delivery::Answered;
+        let cut = |runner: &usize| self.runners[*runner].cut_until[entry] > self.now;
         let Some((id, _)) = target(order.content()) else {
             return;
         };
@@ -74,7 +92,7 @@
             .iter()
             .position(|runner| *runner.worker.id == *id);
         let report = match runner {
-            Some(runner) if self.runners[runner].cut_until[entry] > self.now => {
+            Some(runner) if delivery != Delivery::Waiting && cut(&runner) => {
                 let report = failure(order.content(), sent, Failure::Unknown);
                 if !silent {
                     let report = order.reply(report);
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -73,6 +73,15 @@
     }
 }
 
+/// Returns the scenario in which runners start again under their names behind a cut, while starts wait for them.
+fn dark_restarts() -> Scenario {
+    Scenario {
+        dark_restarts: 4,
+        late_orders: 0.1,
+        ..Scenario::default()
+    }
+}
+
 /// Returns the scenario in which half of the jobs are of an account whose cap is lowered.
 fn capped(hidden: bool) -> Scenario {
     Scenario {
@@ -234,6 +243,13 @@
     assert_none(&found, is_job_fault);
 }
 
+/// Guards against two attempts of a task at the same time, and against a task that starts again after it was done, when a runner that
+/// has started again behind a cut carries out a start without an answer before any leader has reached it.
+#[test]
+fn starts_without_an_answer_are_waited_for_while_their_runners_are_cut_off() {
+    assert_none(&faults(dark_restarts(), 0..READ_SCHEDULES), is_job_fault);
+}
+
 /// Guards against reports on orders of an earlier lead that count for the runs and runners of a later lead of the same
 /// entry: a run counts as started or lost that is not, and the leader gives up the lead.
 #[test]
--- a/crates/schedule/examples/scale.rs
+++ b/crates/schedule/examples/scale.rs
@@ -194,6 +194,7 @@
     let takeover = Takeover {
         epoch: 1,
         runs_until: Time::MIN,
+        observed: Time::MIN,
         hosts: HashMap::new(),
         leases: HashMap::new(),
     };
--- a/crates/schedule/src/config/rules.rs
+++ b/crates/schedule/src/config/rules.rs
@@ -13,6 +13,11 @@
     /// Longest time from an order to a runner until it is carried out: the wait for a connection and the time for the
     /// answer. The platform may carry out a few orders later.
     pub order_limit: Duration,
+    /// Longest time after which a start without an answer may still be carried out. The users' platform carries orders out up
+    /// to 12 s late.
+    pub start_limit: Duration,
+    /// The same for long-running tasks. They have to run again at most 7 s after the last fault, so the wait is cut short.
+    pub long_running_start_limit: Duration,
     /// Lease of a run that starts on an idle runner, until the first poll renews it. A short one limits how long a
     /// start stays in doubt if the host fails before it answers.
     pub first_lease: Duration,
@@ -55,6 +60,8 @@
             lease: Duration::from_millis(3_500),
             lease_limit: Duration::from_millis(6_000),
             order_limit: Duration::from_millis(1_200),
+            start_limit: Duration::from_secs(12),
+            long_running_start_limit: Duration::from_secs(6),
             first_lease: Duration::from_millis(1_500),
             leader_lease: Duration::from_millis(2_500),
             drift_permille: 20,
--- a/crates/schedule/src/engine/end.rs
+++ b/crates/schedule/src/engine/end.rs
@@ -55,6 +55,9 @@
             run.attempt == end.attempt && run.runner == runner_key
         };
         let run = state.runs.iter().find(matches).copied();
+        if let Some(run) = run {
+            self.runs[run].starts.list();
+        }
         let known = end.attempt <= state.attempt && state.state != State::Done;
         let Some(run) = run.and_then(|run| self.detach(run)) else {
             // The run was given up after its lease had ended. Its result counts if the task is not done yet.
--- a/crates/schedule/src/engine/engine.rs
+++ b/crates/schedule/src/engine/engine.rs
@@ -1,6 +1,9 @@
 //! The engine: state of the scheduler on the leader.
 
-use super::crash::Crash;
+use super::{
+    crash::Crash,
+    late, //
+};
 use crate::{
     Config, Note, Order, Rules,
     account::{
@@ -54,6 +57,8 @@
     pub epoch: u64,
     /// Time until which runs of former leaders may be alive on runners that do not answer.
     pub runs_until: Time,
+    /// When a former leader was last observed to write to the log. It orders a start only once the log has it.
+    pub observed: Time,
     /// When former leaders last gave an order to each host.
     pub hosts: HashMap<Arc<str>, Time>,
     /// For runners that have started again under their names, the latest time at which a lease can end that they have granted
@@ -81,6 +86,8 @@
     pub(super) epoch: u64,
     /// Time until which runs of former leaders may be alive on runners that do not answer.
     pub(super) former_runs_until: Time,
+    /// When a former leader was last observed to write to the log.
+    pub(super) former_observed: Time,
     pub(super) queues: SlotMap<key::Queue, Queue>,
     pub(super) queue_index: HashMap<Arc<str>, key::Queue>,
     pub(super) pools: SlotMap<key::Pool, Pool>,
@@ -111,6 +118,10 @@
     pub(super) jobs: SlotMap<job::Key, ActiveJob>,
     pub(super) job_index: HashMap<Id, job::Key>,
     pub(super) runs: SlotMap<run::Key, Run>,
+    /// Starts that may still be carried out although their runs were given up.
+    pub(super) late_starts: Vec<late::Start>,
+    /// Number of such starts that were not kept since there were too many.
+    pub(super) unkept_starts: u32,
     /// Suspected crashes; at most [`CRASH_LIMIT`] for each task.
     ///
     /// [`CRASH_LIMIT`]: super::crash::CRASH_LIMIT
@@ -163,6 +174,7 @@
             rules,
             epoch: takeover.epoch,
             former_runs_until: takeover.runs_until,
+            former_observed: takeover.observed,
             queues: SlotMap::with_key(),
             queue_index: HashMap::new(),
             pools: SlotMap::with_key(),
@@ -183,6 +195,8 @@
             jobs: SlotMap::with_key(),
             job_index: HashMap::new(),
             runs: SlotMap::with_key(),
+            late_starts: Vec::new(),
+            unkept_starts: 0,
             suspicions: Vec::new(),
             crashes: Vec::new(),
             open_findings: Vec::new(),
--- a/crates/schedule/src/engine/loss.rs
+++ b/crates/schedule/src/engine/loss.rs
@@ -244,8 +244,8 @@
     }
 
     /// Stores which runs on a runner are not the cause if it ends, since a later leader can't tell how long they have gone
-    /// on, nor that the runner was about to leave.
-    pub(super) fn settle_runs(&mut self, key: runner::Key) {
+    /// on, nor that the runner was about to leave. To that leader, no start of them can be carried out any more.
+    pub(super) fn settle_runs(&mut self, key: runner::Key, now: Time) {
         let Some(runner) = self.runners.get(key) else {
             return;
         };
@@ -253,7 +253,8 @@
         let is_due = |run: &&run::Key| {
             let run = &self.runs[**run];
             let settled = leaves || age(run, runner) >= SETTLED_AFTER;
-            run.stage == Stage::Running && !run.settled && settled
+            let sure = run.starts.until().is_none_or(|until| now > until);
+            run.stage == Stage::Running && !run.settled && settled && sure
         };
         let due: Vec<run::Key> = runner.runs.iter().filter(is_due).copied().collect();
         for key in due {
--- a/crates/schedule/src/engine/mod.rs
+++ b/crates/schedule/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod evict;
 mod gang;
 mod host;
+mod late;
 mod loss;
 mod pace;
 mod place;
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -148,7 +148,9 @@
                 runner.last_poll = answer.sent;
                 runner.renewed_until = runner.renewed_until.max(renewal.unwrap_or(Time::MIN));
                 runner.alive_at = runner.alive_at.max(answer.sent);
+                let id = runner.id.clone();
                 self.handle_view(key, view, answer.clock, answer.sent, now);
+                self.void_starts(&id, incarnation);
                 self.schedule_next_poll(key, now);
             }
             Err(Failure::Fenced) => self.superseded = true,
@@ -211,7 +213,8 @@
         self.handle_ends(key, view.ended, now);
         let mut listed: Vec<run::Key> = Vec::new();
         for row in view.running {
-            match self.find_run(key, &row) {
+            let known = self.find_run(key, &row);
+            match known.or_else(|| self.take_over_run(key, &row, now)) {
                 Some(run) => {
                     listed.push(run);
                     if names_incarnation {
@@ -246,7 +249,7 @@
         }
         self.resolve_doubts(key, &listed, sent, now);
         self.clear_suspects(key);
-        self.settle_runs(key);
+        self.settle_runs(key, now);
         if let Some(runner) = self.runners.get_mut(key) {
             runner.rack_failed = false;
         }
@@ -284,6 +287,7 @@
         now: Time,
     ) {
         let run = &mut self.runs[key];
+        run.starts.list();
         run.load = row.load;
         run.alive_at = run.alive_at.max(sent);
         run.percent = row.percent;
@@ -326,17 +330,28 @@
         }
     }
 
+    /// Adds a note about a run that a runner reports and the engine does not know.
+    pub(super) fn note_foreign(
+        &mut self,
+        key: runner::Key,
+        row: &Running,
+        reason: &'static str,
+        now: Time,
+    ) {
+        let runner = &self.runners[key];
+        // The age of the incarnation tells a start that arrived late from a run that was given up too early.
+        let born = Time::from_millis(runner.incarnation);
+        let note = Note::new(Kind::Foreign, reason, now).with_place(&runner.id);
+        let note = note.with_task(row.task, row.attempt);
+        self.note(note.with_age(now.since(born)));
+    }
+
     /// Stops a run that a runner reports and the engine does not know.
     fn stop_unknown_run(&mut self, key: runner::Key, row: &Running, now: Time) {
         let Some(target) = self.target(key) else {
             return;
         };
-        let id = target.id.clone();
-        // The age of the incarnation tells a start that arrived late from a run that was given up too early.
-        let born = Time::from_millis(self.runners[key].incarnation);
-        let note = Note::new(Kind::Foreign, self.foreign_reason(row), now);
-        let note = note.with_task(row.task, row.attempt).with_place(&id);
-        self.note(note.with_age(now.since(born)));
+        self.note_foreign(key, row, self.foreign_reason(row), now);
         self.orders.push(Order::Stop(Stop {
             target,
             run: None,
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -106,9 +106,14 @@
             .get(key)
             .is_some_and(|run| self.repeats_start(run));
         let answer = self.unknown_if_outdated(ordered_to, answer);
+        let limit = self.runs.get(key).and_then(|run| self.start_limit(run));
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
+        match (&answer.result, limit) {
+            (Err(Failure::Unknown), Some(limit)) => run.starts.fail(answer.sent + limit),
+            _ => run.starts.settle(),
+        }
         let runner_key = run.runner;
         let task = run.task;
         let stopping = run.stage == Stage::Stopping;
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -9,11 +9,11 @@
 };
 use crate::{
     job::{
-        self,
-        Run,
-        State,
-        TaskKey,
-        run::Stage, //
+        self, Run, Starts, State, TaskKey,
+        run::{
+            self,
+            Stage, //
+        },
     },
     runner::{
         self,
@@ -117,6 +117,19 @@
         for assignment in &kept.assignments {
             self.restore_run(task, assignment, now);
         }
+        self.stop_earlier_attempts(task, now);
+    }
+
+    /// Stops the runs of a task that a former leader was stopping, beside one of the latest attempt.
+    fn stop_earlier_attempts(&mut self, task: TaskKey, now: Time) {
+        let runs = self.runs_of(task);
+        let speculative = self.step_spec(task).is_some_and(|step| step.speculative);
+        let latest = runs.iter().map(|&run| self.runs[run].attempt).max();
+        let is_earlier = |run: &run::Key| Some(self.runs[*run].attempt) < latest;
+        let earlier: Vec<run::Key> = runs.iter().copied().filter(is_earlier).collect();
+        for run in earlier.into_iter().filter(|_| !speculative) {
+            self.stop(run, "given-up", now);
+        }
     }
 
     /// Restores a run that may be alive, unless the incarnation of its runner is known to be over.
@@ -129,12 +142,19 @@
             }
             return;
         };
+        let run = self.new_run(task, assignment.attempt, runner, now);
+        let limit = self.start_limit(&run).filter(|_| !assignment.settled);
+        let starts = limit.map_or(Starts::NONE, |limit| {
+            // Starts of long-running tasks are repeated.
+            Starts::inherited(self.former_observed + limit, run.traits.long_running)
+        });
         let run = self.runs.insert(Run {
+            starts,
             moved: assignment.incarnation < self.runners[runner].incarnation,
             incarnation: assignment.incarnation,
             settled: assignment.settled,
             stage: Stage::Inherited,
-            ..self.new_run(task, assignment.attempt, runner, now)
+            ..run
         });
         let active = &mut self.jobs[task.job_key];
         if let Some(state) = active.task_mut(task.occurrence, task.step, task.index) {
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     job::{
-        self, Run, State, TaskKey,
+        self, Run, Starts, State, TaskKey,
         run::{
             self,
             Stage, //
@@ -93,6 +93,7 @@
             adopted: None,
             started: None,
             doubt: None,
+            starts: Starts::NONE,
             start_expires: Time::MIN,
             answered_at: None,
             stop_ordered_at: None,
@@ -152,7 +153,10 @@
         let (Some(until), Some(target)) = (until, self.target(runner_key)) else {
             return false;
         };
+        let limit = self.start_limit(&self.runs[key]);
         let run = &mut self.runs[key];
+        let late = |limit| now + self.rules.order_limit + limit;
+        run.starts.send(limit.map_or(Time::MIN, late));
         run.start_expires = run.start_expires.max(expires.unwrap_or(Time::MIN));
         self.orders.push(Order::Start(Start {
             target,
@@ -167,6 +171,19 @@
         true
     }
 
+    /// Returns the longest time after which a later incarnation of its runner may carry out a start of a run that got no answer;
+    /// `None` if that does no harm.
+    pub(super) fn start_limit(&self, run: &Run) -> Option<Duration> {
+        let step = self.step_spec(run.task)?;
+        // A ticket is valid for one incarnation.
+        let harmless = step.speculative || run.ticket.is_some();
+        let limit = match step.long_running {
+            true => self.rules.long_running_start_limit,
+            false => self.rules.start_limit,
+        };
+        (!harmless).then_some(limit)
+    }
+
     /// Records that a runner has started a task of a job. `evidence` names what the runner has shown.
     pub(super) fn mark_begun(
         &mut self,
@@ -252,6 +269,7 @@
     pub(super) fn detach(&mut self, key: run::Key) -> Option<Run> {
         let run = self.runs.remove(key)?;
         self.discharge(&run);
+        self.keep_start(&run);
         if let Some(runner) = self.runners.get_mut(run.runner) {
             runner.remove_run(key, &run);
         }
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -229,6 +229,9 @@
         for run in runs {
             self.lose(run, loss, now);
         }
+        if matches!(loss, Loss::HostReused | Loss::HostOrdered) {
+            self.void_starts(&id, u64::MAX);
+        }
         self.settle_crashes(key, loss, now);
         self.remove_runner(key, now);
         self.note(Note::new(Kind::RunnerGone, loss.as_str(), now).with_place(&id));
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -177,14 +177,17 @@
                     crashes: task.crashes,
                     suspicions,
                     attempt: task.attempt,
-                    assignments: self.assignments(task),
+                    assignments: self.assignments(TaskKey::new(key, position), task),
                     checkpoint: task.checkpoint.clone(),
                 })
             })
         })
     }
 
-    fn assignments(&self, task: &job::Task) -> Vec<Assignment> {
+    fn assignments(&self, key: TaskKey, task: &job::Task) -> Vec<Assignment> {
+        if task.runs.is_empty() && task.state != job::State::Done {
+            return self.late_assignments(key).collect();
+        }
         let runs = task.runs.iter().filter_map(|&run| self.runs.get(run));
         let assignment = |run: &job::Run| {
             let runner = self.runners.get(run.runner)?;
--- a/crates/schedule/src/engine/tick.rs
+++ b/crates/schedule/src/engine/tick.rs
@@ -43,6 +43,7 @@
             self.expire_leases(now);
         }
         self.close_findings(now);
+        self.update_late_starts(now);
         if may_order {
             if may_start {
                 self.start_stored(now);
--- a/crates/schedule/src/job/mod.rs
+++ b/crates/schedule/src/job/mod.rs
@@ -3,6 +3,7 @@
 mod job;
 mod key;
 pub mod run;
+mod starts;
 mod task;
 
 pub use job::{
@@ -18,6 +19,7 @@
     TaskKey, //
 };
 pub use run::Run;
+pub use starts::Starts;
 pub use task::{
     State,
     Task, //
--- a/crates/schedule/src/job/run.rs
+++ b/crates/schedule/src/job/run.rs
@@ -1,6 +1,9 @@
 //! An attempt of a task on a runner.
 
-use super::TaskKey;
+use super::{
+    Starts,
+    TaskKey, //
+};
 use crate::{
     account,
     contention,
@@ -76,6 +79,8 @@
     pub started: Option<Time>,
     /// What is known of starts without an answer; `None` if each start was answered or is still on its way.
     pub doubt: Option<Doubt>,
+    /// Its starts that may still be carried out.
+    pub starts: Starts,
     /// When the latest start expires: a runner that gets it later refuses it.
     pub start_expires: Time,
     /// When the latest order for the run was answered. The answer to a poll that was sent later has the run if it is
--- a/crates/schedule/src/job/task.rs
+++ b/crates/schedule/src/job/task.rs
@@ -34,7 +34,7 @@
     pub attempt: u32,
     /// Latest checkpoint.
     pub checkpoint: Option<Arc<str>>,
-    /// Runs that have not ended. Only a speculative task has more than one.
+    /// Runs that have not ended. Only a speculative task has more than one, or one of which a run was given up too early.
     pub runs: Vec<run::Key>,
     /// Runner on which the task last failed or was slow; others are preferred to it.
     pub avoid: Option<runner::Key>,
--- a/crates/schedule/src/note/note.rs
+++ b/crates/schedule/src/note/note.rs
@@ -40,6 +40,8 @@
     StartRefused = "start-refused";
     /// The order to start a task got no answer.
     StartUnknown = "start-unknown";
+    /// A task does not start again yet, since a start of it may still be carried out at a runner that does not answer.
+    StartAwaited = "start-awaited";
     /// A run was ordered to stop.
     Stopping = "run-stopping";
     /// A run has ended.
--- a/crates/schedule/tests/engine/harness/fault.rs
+++ b/crates/schedule/tests/engine/harness/fault.rs
@@ -46,6 +46,8 @@
     pub(crate) hold_polls: bool,
     /// Kind of the order that is held up on its way, so that it gets no answer.
     pub(crate) hold: Option<&'static str>,
+    /// Time until the engine learns that a held order got no answer.
+    pub(crate) hold_timeout: Duration,
     /// Orders that are held up, until [`Harness::arrive`].
     pub(super) held: Vec<Envelope<Order>>,
     /// What the engine has noted of lost runners.
@@ -72,7 +74,7 @@
         let (failure, cause, after) = if self.hold == Some(call) {
             self.hold = None;
             self.held.push(envelope.clone());
-            (Failure::Unknown, Cause::Timeout, Duration::ZERO)
+            (Failure::Unknown, Cause::Timeout, self.hold_timeout)
         } else {
             let plan = self.planned.iter_mut().find(matches)?;
             plan.count -= 1;
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -161,6 +161,7 @@
         let takeover = Takeover {
             epoch: FIRST_EPOCH,
             runs_until: Time::MIN,
+            observed: Time::MIN,
             hosts: ordered.iter().map(row).collect(),
             leases: HashMap::new(),
         };
--- a/crates/schedule/tests/engine/harness/takeover.rs
+++ b/crates/schedule/tests/engine/harness/takeover.rs
@@ -71,6 +71,7 @@
         let takeover = Takeover {
             epoch: self.epoch,
             runs_until: self.rules.lease_expiry(ordered),
+            observed: now,
             hosts: self.replica.host_orders().clone(),
             leases: self.replica.leases().clone(),
         };
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -28,3 +28,4 @@
 mod share;
 mod straggler;
 mod suspicion;
+mod unanswered;
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -20,10 +20,13 @@
     runner::Change, //
 };
 
-/// Returns a harness with one runner whose clock has gone on for longer than its longest lease.
+/// Returns a harness with one runner whose clock has gone on for longer than its longest lease. Only leases are waited for, not
+/// starts without an answer.
 fn with_old_runner() -> Harness {
     let rules = Rules {
         lease_limit: Duration::from_secs(10),
+        start_limit: Duration::ZERO,
+        long_running_start_limit: Duration::ZERO,
         ..Rules::default()
     };
     let mut harness = Harness::with_rules(1, rules, &[]);
@@ -213,7 +216,12 @@
 /// Plays a start that reaches a later incarnation after the task has started elsewhere. The service list shows that incarnation
 /// before, if `listed`.
 fn play_late_start(listed: bool) {
-    let mut harness = Harness::new(2, 1);
+    // The later attempt does not wait for the start.
+    let rules = Rules {
+        start_limit: Duration::ZERO,
+        ..Rules::default()
+    };
+    let mut harness = Harness::with_rules(2, rules, &[]);
     harness.task_duration = |_| Some(Duration::from_secs(20));
     harness.run_ms(100);
     harness.faults.hold = Some("start");
