fix(schedule): end the doubt about a start although its repeats are refused

A long-running task of an accepted job did not run for as long as its runner refused it: its start, which had got no answer, was repeated at that runner each 0.3 s, with the ticket of the runner's earlier incarnation.

The cause: any refusal of a repeat counted as nothing known, and each repeat, also a refused one, put off the time at which the starts have expired. A start in doubt also moved with its runner and was repeated at the next incarnation without a look at room and labels, although that had listed its runs without it.

A refused repeat no longer puts off the end of the doubt. A refusal for the ticket ends it at once, since all copies of a start have the same one and a run that is there is not refused.

--- a/crates/schedule/src/engine/doubt.rs
+++ b/crates/schedule/src/engine/doubt.rs
@@ -72,8 +72,8 @@
         }
     }
 
-    /// Gives up the runs in doubt whose starts have all expired, unless the runner lists them. `sent` is the time at which
-    /// the runner was asked.
+    /// Gives up the runs in doubt whose starts have all expired, unless the runner lists them. Refused repeats do not put that off.
+    /// `sent` is the time at which the runner was asked.
     pub(super) fn resolve_doubts(
         &mut self,
         runner: crate::runner::Key,
@@ -86,7 +86,7 @@
         };
         let expired = |key: &run::Key| {
             let run = &self.runs[*key];
-            run.stage == Stage::Ordered && run.doubt.is_some() && sent > run.start_expires
+            run.stage == Stage::Ordered && run.doubt.is_some() && run.starts.have_expired(sent)
         };
         let runs = runner.runs.iter().copied();
         let lost: Vec<run::Key> = runs
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -234,8 +234,12 @@
         };
         let is_missing = |run: &run::Key| {
             let known = &self.runs[*run];
+            // The answer shows that this incarnation rejects all starts that were sent to earlier ones.
+            let outdated = known.moved && known.starts.are_outdated();
             let should_be_listed = match known.stage {
-                Stage::Planned | Stage::Ordered => false,
+                Stage::Planned => false,
+                Stage::Ordered | Stage::Stopping if outdated => true,
+                Stage::Ordered => false,
                 Stage::Inherited => true,
                 Stage::Running | Stage::Stopping => known.answered_at.is_some_and(|at| at <= sent),
             };
--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -110,8 +110,11 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        match (&answer.result, limit) {
-            (Err(Failure::Unknown), Some(limit)) => run.starts.fail(answer.sent + limit),
+        match &answer.result {
+            Err(Failure::Unknown) => {
+                let late = |limit| answer.sent + limit;
+                run.starts.fail(limit.map_or(Time::MIN, late));
+            }
             _ => run.starts.settle(),
         }
         let runner_key = run.runner;
@@ -154,8 +157,12 @@
                 self.poll_soon(runner_key, now);
                 self.abandon(key, now);
             }
-            // What an earlier copy of the start has done is still unknown.
-            Err(failure) if run.doubt.is_some() => self.doubt_start(key, failure, now),
+            // What an earlier copy of the start has done is still unknown, unless all have the same ticket: a run that is there
+            // is not refused for it, and no other copy is accepted any more.
+            Err(failure) if run.doubt.is_some() && failure != Failure::InvalidTicket => {
+                self.doubt_start(key, failure, now);
+                self.handle_refused_start(runner_key, failure, answer.fault, now);
+            }
             Err(Failure::Unknown) if repeats => {
                 self.doubt_start(key, Failure::Unknown, now);
                 self.mark_unreachable(runner_key, "start", Failure::Unknown, answer.fault, now);
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -11,6 +11,7 @@
             self,
             Stage, //
         },
+        starts::Bound,
     },
     note::{
         Kind,
@@ -94,7 +95,6 @@
             started: None,
             doubt: None,
             starts: Starts::NONE,
-            start_expires: Time::MIN,
             answered_at: None,
             stop_ordered_at: None,
             ticket: None,
@@ -156,8 +156,10 @@
         let limit = self.start_limit(&self.runs[key]);
         let run = &mut self.runs[key];
         let late = |limit| now + self.rules.order_limit + limit;
-        run.starts.send(limit.map_or(Time::MIN, late));
-        run.start_expires = run.start_expires.max(expires.unwrap_or(Time::MIN));
+        run.starts.send(Bound {
+            here: expires.unwrap_or(Time::MIN),
+            later: limit.map_or(Time::MIN, late),
+        });
         self.orders.push(Order::Start(Start {
             target,
             run: key,
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -177,12 +177,11 @@
         for key in runs {
             let run = &mut self.runs[key];
             run.runner = to;
+            run.starts.move_on();
             if !run.moved {
                 run.moved = true;
                 run.alive_at = run.alive_at.max(alive_at);
             }
-            // The clock of the later incarnation starts anew.
-            run.start_expires = run.start_expires.max(until);
             if run.stage == Stage::Stopping {
                 // The later incarnation may not know of the stop.
                 run.answered_at = None;
--- a/crates/schedule/src/job/mod.rs
+++ b/crates/schedule/src/job/mod.rs
@@ -3,7 +3,7 @@
 mod job;
 mod key;
 pub mod run;
-mod starts;
+pub mod starts;
 mod task;
 
 pub use job::{
--- a/crates/schedule/src/job/run.rs
+++ b/crates/schedule/src/job/run.rs
@@ -81,8 +81,6 @@
     pub doubt: Option<Doubt>,
     /// Its starts that may still be carried out.
     pub starts: Starts,
-    /// When the latest start expires: a runner that gets it later refuses it.
-    pub start_expires: Time,
     /// When the latest order for the run was answered. The answer to a poll that was sent later has the run if it is
     /// alive.
     pub answered_at: Option<Time>,
--- a/crates/schedule/tests/engine/harness/execute.rs
+++ b/crates/schedule/tests/engine/harness/execute.rs
@@ -125,8 +125,10 @@
             duration: (self.task_duration)(&start.task).map(|duration| duration * slowdown),
             fails: (self.fails)(&start.task, start.attempt, &start.target.id),
         };
-        let mut answer = self.send(&start.target, |worker| {
-            worker.start(order, now).map_err(failure)
+        let accepted = self.accepts_ticket(start);
+        let mut answer = self.send(&start.target, |worker| match accepted {
+            true => worker.start(order, now).map_err(failure),
+            false => Err(Failure::InvalidTicket),
         });
         if self.starts_unanswered {
             answer.clock = None;
@@ -204,16 +206,44 @@
     fn advise(&mut self, step: StepKey, runners: &[Arc<str>]) -> Report {
         self.add_line(&format!("ask about {} runners", runners.len()));
         let rows = runners.iter().step_by(2);
-        let rows = rows.map(|id| (Arc::clone(id), Arc::from(format!("ticket-{id}"))));
+        let tickets: Vec<_> = rows
+            .map(|id| (Arc::clone(id), self.issue_ticket(id)))
+            .collect();
         Report::Advice {
             step,
             approved: Some(Approval {
-                tickets: rows.collect(),
-                valid: Duration::from_secs(3),
+                tickets,
+                valid: self.ticket_lifetime,
             }),
         }
     }
 
+    fn issue_ticket(&mut self, id: &str) -> Arc<str> {
+        let ticket: Arc<str> = format!("ticket-{}", self.tickets.len()).into();
+        let incarnation = self.runners[id].listed.incarnation;
+        let end = self.now + self.ticket_lifetime;
+        self.tickets.push((Arc::clone(&ticket), incarnation, end));
+        ticket
+    }
+
+    /// Tells whether a runner accepts the ticket of a start. A run that is there is not refused for it.
+    fn accepts_ticket(&self, start: &order::Start) -> bool {
+        let (Some(ticket), Some(runner)) = (&start.ticket, self.runners.get(&*start.target.id))
+        else {
+            return true;
+        };
+        let task = start.task.to_string();
+        let present = (&task, start.attempt);
+        let mut runs = runner.worker.runs.iter();
+        let is_there = runs.any(|run| (&run.task, run.attempt) == present);
+        let mut tickets = self.tickets.iter();
+        let born = runner.listed.incarnation;
+        is_there
+            || tickets.any(|(known, incarnation, end)| {
+                known == ticket && *incarnation == born && self.now < *end
+            })
+    }
+
     fn send<T>(
         &mut self,
         target: &Target,
--- a/crates/schedule/tests/engine/harness/fault.rs
+++ b/crates/schedule/tests/engine/harness/fault.rs
@@ -37,11 +37,24 @@
     pub(crate) after: Duration,
 }
 
+/// Starts that are refused without an effect.
+#[derive(Clone, Copy)]
+pub(crate) struct Refused {
+    /// Highest number of an attempt that is refused.
+    pub(crate) attempt: u32,
+    /// What the caller learns.
+    pub(crate) failure: Failure,
+    /// Number of refused starts so far.
+    pub(crate) count: usize,
+}
+
 /// Calls that fail, and reports that have not arrived yet.
 #[derive(Default)]
 pub(crate) struct Faults {
     /// Calls that fail.
     pub(crate) planned: Vec<Planned>,
+    /// Starts that are refused.
+    pub(crate) refused: Option<Refused>,
     /// Whether runners hold polls open for as long as they may. The lists are those of the beginning.
     pub(crate) hold_polls: bool,
     /// Kind of the order that is held up on its way, so that it gets no answer.
@@ -75,6 +88,12 @@
             self.hold = None;
             self.held.push(envelope.clone());
             (Failure::Unknown, Cause::Timeout, self.hold_timeout)
+        } else if let Order::Start(start) = order
+            && let Some(refused) = &mut self.refused
+            && start.attempt <= refused.attempt
+        {
+            refused.count += 1;
+            (refused.failure, Cause::Status, Duration::ZERO)
         } else {
             let plan = self.planned.iter_mut().find(matches)?;
             plan.count -= 1;
--- a/crates/schedule/tests/engine/harness/harness.rs
+++ b/crates/schedule/tests/engine/harness/harness.rs
@@ -97,6 +97,10 @@
     pub(crate) hide_progress: bool,
     /// Simulated hosts.
     pub(crate) hosts: Hosts,
+    /// How long the tickets of the advice service are valid.
+    pub(crate) ticket_lifetime: Duration,
+    /// Tickets, each with the incarnation of the runner that it was given for, and its end.
+    pub(super) tickets: Vec<(Arc<str>, u64, Duration)>,
     /// Latencies in milliseconds that runners report for tasks.
     pub(crate) load: BTreeMap<String, u64>,
     /// Shares in percent that were last ordered for tasks.
@@ -182,6 +186,8 @@
                 maintenance_time: Duration::from_millis(2_000),
                 ..Hosts::default()
             },
+            ticket_lifetime: Duration::from_secs(3),
+            tickets: Vec::new(),
             load: BTreeMap::new(),
             shares: BTreeMap::new(),
             contentions: Vec::new(),
--- a/crates/schedule/tests/engine/harness/mod.rs
+++ b/crates/schedule/tests/engine/harness/mod.rs
@@ -8,7 +8,10 @@
 mod restart;
 mod takeover;
 
-pub(crate) use fault::Planned;
+pub(crate) use fault::{
+    Planned,
+    Refused, //
+};
 pub(crate) use fixture::{
     RUNNER_SLOTS,
     START_TIME,
--- a/crates/schedule/tests/engine/main.rs
+++ b/crates/schedule/tests/engine/main.rs
@@ -22,6 +22,7 @@
 mod pending;
 mod place;
 mod reborn;
+mod refused;
 mod report;
 mod restore;
 mod series;
