fix(schedule): repeat starts only where tasks may start

A start in doubt was repeated at a runner that drains, is about to be moved or maintained, or is in quarantine, and while the leader may start nothing because its read of the jobs is old. The repeat may be what starts the task, seconds after the runner was known to leave.

Repeats now need what each start needs. Without them, the doubt ends when the starts have expired, and the task is placed elsewhere.

--- a/crates/schedule/src/engine/doubt.rs
+++ b/crates/schedule/src/engine/doubt.rs
@@ -53,16 +53,17 @@
         self.note_run(Kind::StartUnknown, reason, &run, now);
     }
 
-    /// Repeats the starts in doubt at runners that answer again.
+    /// Repeats the starts in doubt at runners that answer again. A repeat may be what starts the task, so it is sent only where tasks
+    /// may start.
     pub(super) fn repeat_starts(&mut self, now: Time) {
-        let answers = |runner: &Runner| runner.misses == 0 && runner.fenced;
+        let accepts = |runner: &Runner| runner.accepts_tasks(now);
         let due = |run: &Run| {
             let repeat_at = run.doubt.and_then(|doubt| doubt.repeat_at);
             // A start that was not carried out yet may bring the account over a cap that was lowered since.
             run.stage == Stage::Ordered
                 && self.may_return(run)
                 && repeat_at.is_some_and(|at| now >= at)
-                && self.runners.get(run.runner).is_some_and(answers)
+                && self.runners.get(run.runner).is_some_and(accepts)
         };
         let keys = self.runs.iter().filter(|(_, run)| due(run));
         let keys: Vec<run::Key> = keys.map(|(key, _)| key).collect();
--- a/crates/schedule/src/engine/tick.rs
+++ b/crates/schedule/src/engine/tick.rs
@@ -47,9 +47,9 @@
         if may_order {
             if may_start {
                 self.start_stored(now);
+                self.repeat_starts(now);
             }
             self.order_stored(now);
-            self.repeat_starts(now);
             self.repeat_stops(now);
             self.evict(now);
             self.pace(now);
--- a/crates/schedule/tests/engine/refused.rs
+++ b/crates/schedule/tests/engine/refused.rs
@@ -116,6 +116,33 @@
     assert_eq!(harness.overlaps(), 0, "{}", harness.timeline());
 }
 
+/// Guards against a repeat that starts a task where none may start: at a runner that drains, or whose host is about to be
+/// maintained.
+#[test]
+fn start_is_not_repeated_where_no_task_may_start() {
+    for draining in [true, false] {
+        let mut harness = Harness::new(1, 1);
+        harness.task_duration = |_| None;
+        harness.run_ms(100);
+        harness.faults.hold = Some("start");
+        harness.submit(1, vec![long_running(1, 1)]);
+        harness.decide();
+        harness.add_runner("r1", "pool", "rack1");
+        match draining {
+            true => harness.drain("r0"),
+            false => {
+                let (hosts, now) = (vec!["host-r0".into()], harness.time());
+                let span = Duration::from_secs(10);
+                harness.engine.add_wave(1, hosts, span, 1, None, now);
+            }
+        }
+        harness.run_ms(4_000);
+        let timeline = harness.timeline();
+        assert!(!timeline.contains("at r0"), "{draining}: {timeline}");
+        assert_eq!(harness.running("r1").len(), 1, "{draining}: {timeline}");
+    }
+}
+
 /// Guards against a repeat at a restarted runner that lacks the label which the task needs.
 #[test]
 fn start_is_not_repeated_at_a_restarted_runner_without_the_label() {
