fix(schedule): keep a run that its runner lists when a copy of its start is refused

A long-running task ran twice while the first run was being stopped: a repeat of its start was refused for room, the start without an answer was carried out just after, and the runner listed it before the refusal arrived. The leader then gave the listed run up.

A refusal of one copy says nothing about a run that is listed, so it now only brings the next poll forward.

Evidence: `refusal_of_a_further_copy_does_not_end_a_run_that_is_listed` failed before, by two runs at the same time.

--- a/crates/schedule/src/engine/report.rs
+++ b/crates/schedule/src/engine/report.rs
@@ -157,6 +157,10 @@
                 self.poll_soon(runner_key, now);
                 self.abandon(key, now);
             }
+            // Another copy was carried out since.
+            Err(failure) if run.stage == Stage::Running && failure != Failure::Unknown => {
+                self.poll_soon(runner_key, now);
+            }
             // What an earlier copy of the start has done is still unknown, unless all have the same ticket: a run that is there
             // is not refused for it, and no other copy is accepted any more.
             Err(failure) if run.doubt.is_some() && failure != Failure::InvalidTicket => {
--- a/crates/schedule/tests/engine/refused.rs
+++ b/crates/schedule/tests/engine/refused.rs
@@ -2,11 +2,15 @@
 
 use crate::harness::{
     Harness,
+    Planned,
     Refused,
     job,
     long_running, //
 };
-use sassafrascrank_base::prelude::*;
+use sassafrascrank_base::{
+    fault::Cause,
+    prelude::*, //
+};
 use sassafrascrank_job::{
     Job,
     Step, //
@@ -143,6 +147,33 @@
     }
 }
 
+/// Guards against a run that is given up, and started elsewhere, although its runner lists it: another copy of its start was refused
+/// before, and the answer to that arrives afterwards.
+#[test]
+fn refusal_of_a_further_copy_does_not_end_a_run_that_is_listed() {
+    for failure in [Failure::NoCapacity, Failure::InvalidTicket] {
+        let mut harness = with_lost_start("orders");
+        harness.set_stop_time(Duration::from_millis(600));
+        harness.faults.planned.push(Planned {
+            id: "r0",
+            call: "start",
+            count: 1,
+            failure,
+            cause: Cause::Status,
+            after: Duration::from_millis(200),
+        });
+        harness.add_runner("r1", "pool", "rack1");
+        while harness.faults.planned[0].count > 0 {
+            harness.run_ms(20);
+        }
+        harness.arrive();
+        harness.run_ms(2_000);
+        let timeline = harness.timeline();
+        assert_eq!(harness.overlaps(), 0, "{timeline}");
+        assert_eq!(harness.running("r0").len(), 1, "{timeline}");
+    }
+}
+
 /// Guards against a repeat at a restarted runner that lacks the label which the task needs.
 #[test]
 fn start_is_not_repeated_at_a_restarted_runner_without_the_label() {
