fix(schedule): end the wait for a start once its host has another runner

Tasks waited for up to 12 s for a start at a runner that was already followed by another one on its host, as after a crash in which the next process has a new id. The end of the earlier runner was known by an answer at its address, so it was no longer there to be ended by the service list.

The entry of the later runner now ends the wait, as it ends an earlier runner that is still known: a host has one runner at a time.

Evidence: `wait_for_a_start_ends_once_the_host_has_another_runner` fails without the change.

--- a/crates/schedule/src/engine/late.rs
+++ b/crates/schedule/src/engine/late.rs
@@ -20,6 +20,7 @@
     order::report::Running,
     runner::{
         self,
+        Listed,
         Runner, //
     },
 };
@@ -80,12 +81,24 @@
         }
     }
 
-    /// Records that no start at an incarnation of a runner before this one will be carried out: it has answered an order of this
-    /// leader, or its host gets another runner.
-    pub(super) fn void_starts(&mut self, runner: &Arc<str>, incarnation: u64) {
-        let is_void =
-            |start: &&mut Start| start.runner == *runner && start.incarnation < incarnation;
-        for start in self.late_starts.iter_mut().filter(is_void) {
+    /// Records that an incarnation of a runner rejects all starts for earlier ones, since it has answered an order of this leader, or
+    /// that there will be none before it.
+    pub(super) fn void_starts_at(&mut self, runner: &Arc<str>, incarnation: u64) {
+        self.void_starts(|start| start.runner == *runner && start.incarnation < incarnation);
+    }
+
+    /// Records that the host of a runner has it now, so that earlier runners of other names will not start again.
+    pub(super) fn void_starts_before(&mut self, listed: &Listed) {
+        let is_earlier = |start: &Start| {
+            start.host == listed.host
+                && start.runner != listed.id
+                && start.incarnation < listed.incarnation
+        };
+        self.void_starts(is_earlier);
+    }
+
+    fn void_starts(&mut self, is_void: impl Fn(&Start) -> bool) {
+        for start in self.late_starts.iter_mut().filter(|start| is_void(start)) {
             start.until = Time::MIN;
         }
     }
--- a/crates/schedule/src/engine/poll.rs
+++ b/crates/schedule/src/engine/poll.rs
@@ -150,7 +150,7 @@
                 runner.alive_at = runner.alive_at.max(answer.sent);
                 let id = runner.id.clone();
                 self.handle_view(key, view, answer.clock, answer.sent, now);
-                self.void_starts(&id, incarnation);
+                self.void_starts_at(&id, incarnation);
                 self.schedule_next_poll(key, now);
             }
             Err(Failure::Fenced) => self.superseded = true,
--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -211,6 +211,7 @@
         for key in keys {
             self.end_incarnation(key, Loss::HostReused, now);
         }
+        self.void_starts_before(listed);
     }
 
     /// Ends an incarnation of a runner, and with it all its runs.
@@ -229,7 +230,7 @@
             self.lose(run, loss, now);
         }
         if matches!(loss, Loss::HostReused | Loss::HostOrdered) {
-            self.void_starts(&id, u64::MAX);
+            self.void_starts_at(&id, u64::MAX);
         }
         self.settle_crashes(key, loss, now);
         self.remove_runner(key, now);
--- a/crates/schedule/tests/engine/unanswered.rs
+++ b/crates/schedule/tests/engine/unanswered.rs
@@ -15,7 +15,10 @@
     Step,
     progress::Outcome, //
 };
-use sassafrascrank_schedule::order::report::Failure;
+use sassafrascrank_schedule::{
+    order::report::Failure,
+    runner::Change, //
+};
 
 /// Duration of the tasks.
 const DURATION: Duration = Duration::from_secs(8);
@@ -252,6 +255,29 @@
     );
 }
 
+/// Guards against a wait that goes on although the host of the runner has another one, so that the runner will not start again.
+#[test]
+fn wait_for_a_start_ends_once_the_host_has_another_runner() {
+    let mut harness = with_unanswered_start(step(1));
+    harness.faults.planned.push(Planned {
+        id: "r0",
+        call: "poll",
+        count: 1,
+        failure: Failure::Replaced,
+        cause: Cause::Status,
+        after: Duration::ZERO,
+    });
+    harness.run_ms(3_000);
+    assert_eq!(harness.running_count(), 0, "{}", harness.timeline());
+    let mut later = harness.runners["r0"].listed.clone();
+    later.id = "r0+".into();
+    later.incarnation = harness.time().as_millis();
+    let now = harness.time();
+    harness.engine.update_runner(Change::Set(later), now);
+    harness.run_ms(100);
+    assert_eq!(harness.running("r1").len(), 1, "{}", harness.timeline());
+}
+
 /// Guards against a wait that goes on although the runner has not restarted: it rejects the start since its lease ended.
 #[test]
 fn wait_for_a_start_ends_with_the_next_answer_of_its_incarnation() {
