fix(schedule): store starts that a task waits for apart from its runs

A caller's job was shown as failed after a change of the leader: three starts of one task that had got no answer, which the task waited for, were in the log as runs that may be alive. The next leader took the end of their runner for three crashes that the task had caused.

The log now has such starts in rows of their own, one for each incarnation of a runner, and the next leader goes on waiting for them without runs. Entries of a version without such rows take one for a run that may be alive.

`starts_that_a_former_leader_waited_for_are_no_crashes` failed before.

--- a/crates/job/src/progress/mod.rs
+++ b/crates/job/src/progress/mod.rs
@@ -6,6 +6,7 @@
     Assignment,
     Outcome,
     Progress,
+    Start,
     Suspicion,
     Task, //
 };
--- a/crates/job/src/progress/progress.rs
+++ b/crates/job/src/progress/progress.rs
@@ -44,6 +44,17 @@
     pub host: Arc<str>,
 }
 
+/// A start without an answer of a run that was given up. A later incarnation of the runner may carry it out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Start {
+    /// Identity of the runner.
+    pub runner: Arc<str>,
+    /// Incarnation of the runner that it was sent to.
+    pub incarnation: u64,
+    /// Host of the runner.
+    pub host: Arc<str>,
+}
+
 /// Stored state of a task.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Task {
@@ -61,6 +72,8 @@
     pub attempt: u32,
     /// Attempts that may still be running.
     pub assignments: Vec<Assignment>,
+    /// Starts that the task waits for before it starts again.
+    pub late_starts: Vec<Start>,
     /// Latest checkpoint that an attempt reported.
     pub checkpoint: Option<Arc<str>>,
 }
--- a/crates/job/src/record/wire.rs
+++ b/crates/job/src/record/wire.rs
@@ -100,7 +100,7 @@
     failures: u16,
     attempt: u32,
     /// Runner, its incarnation, its host, attempt. A suspicion has the attempt [`SUSPICION`]. An assignment that is settled
-    /// has a second row with that attempt and without the host.
+    /// has a second row with that attempt and without the host. A start that the task waits for has the attempt [`LATE_START`].
     assignments: Vec<(String, u64, String, u32)>,
     checkpoint: Option<String>,
     /// Left out if it is 0, so that entries of versions without it can read the record.
@@ -111,6 +111,9 @@
 /// Stands for the attempt in the row of a suspicion, since attempts count from 1. Entries of versions without suspicions
 /// take the row for a run that may be alive, and wait for it no longer than for any other.
 const SUSPICION: u32 = 0;
+/// Stands for the attempt in the row of a start that the task waits for. Entries of versions without such rows take the row for a
+/// run that may be alive, and wait for it no longer than for any other.
+const LATE_START: u32 = u32::MAX;
 
 fn is_zero(number: &u8) -> bool {
     *number == 0
@@ -339,6 +342,10 @@
             let runner = at.runner.to_string();
             (runner, at.incarnation, String::new(), SUSPICION)
         };
+        let late_start = |at: &progress::Start| {
+            let host = at.host.to_string();
+            (at.runner.to_string(), at.incarnation, host, LATE_START)
+        };
         let assignments = task.assignments.iter();
         let settled = assignments.clone().filter(settled).map(settled_row);
         Self {
@@ -350,6 +357,7 @@
                 .map(row)
                 .chain(settled)
                 .chain(task.suspicions.iter().map(suspicion))
+                .chain(task.late_starts.iter().map(late_start))
                 .collect(),
             checkpoint: task.checkpoint.as_deref().map(str::to_owned),
             crashes: task.crashes,
@@ -362,12 +370,18 @@
         let (occurrence, step, index) = wire.position;
         let mut assignments: Vec<Assignment> = Vec::new();
         let mut suspicions: Vec<Suspicion> = Vec::new();
+        let mut late_starts: Vec<progress::Start> = Vec::new();
         for (runner, incarnation, host, attempt) in wire.assignments {
             let (runner, host): (Arc<str>, Arc<str>) = (runner.into(), host.into());
             // A runner that has the task can't be suspected at the same time.
             let mut known = assignments.iter_mut();
             let assigned = known.find(|at| at.runner == runner && at.incarnation == incarnation);
             match (attempt, assigned) {
+                (LATE_START, _) => late_starts.push(progress::Start {
+                    runner,
+                    incarnation,
+                    host,
+                }),
                 (SUSPICION, Some(assigned)) => assigned.settled = true,
                 (SUSPICION, None) => suspicions.push(Suspicion {
                     runner,
@@ -393,6 +407,7 @@
             failures: wire.failures,
             attempt: wire.attempt,
             assignments,
+            late_starts,
             checkpoint: wire.checkpoint.map(Arc::from),
             crashes: wire.crashes,
             suspicions,
--- a/crates/job/tests/format.rs
+++ b/crates/job/tests/format.rs
@@ -92,6 +92,18 @@
     stored("p00000000000000a6", &(9_u64, (), true, 0_u32, [task]))
 }
 
+/// The state of a job whose task waits for a start at a silent runner, which is also suspected of having crashed.
+fn late_start() -> (String, Vec<u8>) {
+    let position = (0_u32, 0_u16, 0_u16);
+    // The row of the start names the highest attempt.
+    let rows = [
+        ("runner-1", 1_700_u64, "host-1", 0_u32),
+        ("runner-1", 1_700, "host-1", u32::MAX),
+    ];
+    let task = (position, false, 0_u16, 1_u32, rows, (), 1_u8);
+    stored("p00000000000000a7", &(9_u64, (), true, 0_u32, [task]))
+}
+
 /// One record of each kind, by hand.
 fn records() -> Vec<(&'static str, (String, Vec<u8>))> {
     let leader = (
@@ -128,6 +140,7 @@
         ("cancelled progress", progress(0xa4, Some("Cancelled"))),
         ("job of a silent runner", silent()),
         ("job of a settled run", settled()),
+        ("job that waits for a start", late_start()),
         ("leader", stored("leader", &leader)),
         ("leader behind the log", stored("leader", &behind)),
         (
--- a/crates/schedule/src/engine/late.rs
+++ b/crates/schedule/src/engine/late.rs
@@ -25,7 +25,7 @@
     },
 };
 use sassafrascrank_base::prelude::*;
-use sassafrascrank_job::progress::Assignment;
+use sassafrascrank_job::progress;
 use std::{
     collections::HashSet,
     sync::Arc, //
@@ -181,17 +181,40 @@
         }
     }
 
-    /// Returns the starts that a task without a run waits for, as runs that may be alive.
-    pub(super) fn late_assignments(&self, task: TaskKey) -> impl Iterator<Item = Assignment> {
+    /// Returns the starts that a task waits for, without their attempts: at a runner, the latest one lasts longest.
+    pub(super) fn awaited_starts(&self, task: TaskKey) -> Vec<progress::Start> {
+        let mut awaited: Vec<progress::Start> = Vec::new();
         let starts = self.late_starts.iter();
-        let starts = starts.filter(move |start| start.awaited && start.task == task);
-        starts.map(|start| Assignment {
-            runner: Arc::clone(&start.runner),
-            incarnation: start.incarnation,
-            host: Arc::clone(&start.host),
-            attempt: start.attempt,
-            settled: false,
-        })
+        for start in starts.filter(|start| start.awaited && start.task == task) {
+            let stored = progress::Start {
+                runner: Arc::clone(&start.runner),
+                incarnation: start.incarnation,
+                host: Arc::clone(&start.host),
+            };
+            if !awaited.contains(&stored) {
+                awaited.push(stored);
+            }
+        }
+        awaited
+    }
+
+    /// Restores the starts that a task of a former leader waits for.
+    pub(super) fn restore_starts(&mut self, task: TaskKey, starts: &[progress::Start]) {
+        let step = self.step_spec(task);
+        let limit = step.map_or(Duration::ZERO, |step| self.late_limit(step));
+        let until = self.former_observed + limit;
+        let attempt = self.task_mut(task).map_or(0, |state| state.attempt);
+        for start in starts {
+            self.late_starts.push(Start {
+                task,
+                attempt,
+                runner: Arc::clone(&start.runner),
+                incarnation: start.incarnation,
+                host: Arc::clone(&start.host),
+                until,
+                awaited: true,
+            });
+        }
     }
 
     /// Takes over a run that a runner lists although it was given up, so that its task does not start elsewhere beside it.
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -118,6 +118,7 @@
             self.restore_run(task, assignment, now);
         }
         self.stop_earlier_attempts(task, now);
+        self.restore_starts(task, &kept.late_starts);
     }
 
     /// Stops the runs of a task that a former leader was stopping, beside one of the latest attempt.
--- a/crates/schedule/src/engine/run.rs
+++ b/crates/schedule/src/engine/run.rs
@@ -29,7 +29,10 @@
     epoch,
     prelude::*, //
 };
-use sassafrascrank_job::id;
+use sassafrascrank_job::{
+    Step,
+    id, //
+};
 use std::sync::Arc;
 
 impl Engine {
@@ -179,11 +182,15 @@
         let step = self.step_spec(run.task)?;
         // A ticket is valid for one incarnation.
         let harmless = step.speculative || run.ticket.is_some();
-        let limit = match step.long_running {
+        (!harmless).then(|| self.late_limit(step))
+    }
+
+    /// Returns the longest time after which a start of a step's task that got no answer counts as possible.
+    pub(super) fn late_limit(&self, step: &Step) -> Duration {
+        match step.long_running {
             true => self.rules.long_running_start_limit,
             false => self.rules.start_limit,
-        };
-        (!harmless).then_some(limit)
+        }
     }
 
     /// Records that a runner has started a task of a job. `evidence` names what the runner has shown.
--- a/crates/schedule/src/engine/store.rs
+++ b/crates/schedule/src/engine/store.rs
@@ -177,17 +177,15 @@
                     crashes: task.crashes,
                     suspicions,
                     attempt: task.attempt,
-                    assignments: self.assignments(TaskKey::new(key, position), task),
+                    assignments: self.assignments(task),
+                    late_starts: self.awaited_starts(TaskKey::new(key, position)),
                     checkpoint: task.checkpoint.clone(),
                 })
             })
         })
     }
 
-    fn assignments(&self, key: TaskKey, task: &job::Task) -> Vec<Assignment> {
-        if task.runs.is_empty() && task.state != job::State::Done {
-            return self.late_assignments(key).collect();
-        }
+    fn assignments(&self, task: &job::Task) -> Vec<Assignment> {
         let runs = task.runs.iter().filter_map(|&run| self.runs.get(run));
         let assignment = |run: &job::Run| {
             let runner = self.runners.get(run.runner)?;
--- a/crates/schedule/tests/engine/unanswered.rs
+++ b/crates/schedule/tests/engine/unanswered.rs
@@ -319,6 +319,61 @@
     assert_eq!(harness.running("r1").len(), 1, "{}", harness.timeline());
 }
 
+/// Guards against a job that is given up because starts of its task that were waited for count as crashes of their runner, after a
+/// change of the leader. None of them is known to have begun.
+#[test]
+fn starts_that_a_former_leader_waited_for_are_no_crashes() {
+    let mut harness = Harness::new(1, 1);
+    harness.task_duration = |_| Some(DURATION);
+    harness.run_ms(100);
+    harness.submit(1, vec![step(1)]);
+    let lose_start = |harness: &mut Harness| {
+        harness.faults.hold = Some("start");
+        while harness.faults.hold.is_some() {
+            harness.run_ms(20);
+        }
+    };
+    for _ in 0..3 {
+        lose_start(&mut harness);
+    }
+    // The next attempt is at another runner.
+    harness.drain("r0");
+    harness.add_runner("r1", "pool", "rack1");
+    lose_start(&mut harness);
+    harness.drain("r1");
+    harness.run_ms(60);
+    for runner in harness.runners.values_mut() {
+        runner.listed.draining = None;
+    }
+    harness.unreachable = ["r0".to_owned(), "r1".to_owned()].into();
+    harness.add_line("silent");
+    harness.run_ms(3_000);
+    harness.take_over();
+    harness.run_ms(200);
+    let mut later = harness.runners["r0"].listed.clone();
+    later.id = "r0+".into();
+    later.incarnation = harness.time().as_millis();
+    let now = harness.time();
+    harness.engine.update_runner(Change::Set(later), now);
+    harness.run_ms(4_000);
+    harness.unreachable.clear();
+    harness.run_ms(1_000);
+    assert_eq!(harness.running("r1").len(), 1, "{}", harness.timeline());
+}
+
+/// Guards against a second run of a task that a former leader waited with, whose start the next incarnation carries out.
+#[test]
+fn later_leader_goes_on_waiting_for_a_start() {
+    let mut harness = with_unanswered_start(step(1));
+    harness.run_ms(4_000);
+    harness.take_over();
+    harness.run_ms(3_000);
+    harness.take_over_after_resignation();
+    harness.run_ms(2_000);
+    restart(&mut harness);
+    check(&mut harness, "later_leader_goes_on_waiting_for_a_start");
+}
+
 /// Guards against a job that is not ended when it is cancelled while a start of it is waited for.
 #[test]
 fn cancelled_job_ends_although_a_start_of_it_is_waited_for() {
--- a/crates/tool/src/jobs/job.rs
+++ b/crates/tool/src/jobs/job.rs
@@ -133,6 +133,12 @@
                 assignment.runner, assignment.host, assignment.attempt
             )
         });
+        let awaited = task.late_starts.iter().map(|start| {
+            format!(
+                "waits for a start without an answer at {} on {}",
+                start.runner, start.host
+            )
+        });
         Self {
             task: format!(
                 "{}.{}.{}",
@@ -141,7 +147,7 @@
             done: task.done,
             attempts: task.attempt,
             failures: task.failures,
-            places: places.collect(),
+            places: places.chain(awaited).collect(),
         }
     }
 }
--- a/crates/tool/tests/common/record.rs
+++ b/crates/tool/tests/common/record.rs
@@ -46,6 +46,7 @@
         suspicions: Vec::new(),
         attempt: u32::from(failures) + 1,
         assignments: places.iter().map(place).collect(),
+        late_starts: Vec::new(),
         checkpoint: None,
     }
 }
