fix(schedule): let no later leader wait for a runner whose host has another one

A task that waited for a start at a runner went on waiting for up to 12 s after a change of the leader, although the service list that the new leader began with showed another runner on the host. Only entries that come later ended the wait.

The list that a leader begins with now counts too, by the rule for runs of former leaders.

Evidence: `later_leader_does_not_wait_for_a_runner_whose_host_has_another` failed before.

--- a/crates/schedule/src/engine/late.rs
+++ b/crates/schedule/src/engine/late.rs
@@ -198,13 +198,16 @@
         awaited
     }
 
-    /// Restores the starts that a task of a former leader waits for.
+    /// Restores the starts that a task of a former leader waits for, unless the host of the runner has another one by now.
     pub(super) fn restore_starts(&mut self, task: TaskKey, starts: &[progress::Start]) {
         let step = self.step_spec(task);
         let limit = step.map_or(Duration::ZERO, |step| self.late_limit(step));
         let until = self.former_observed + limit;
         let attempt = self.task_mut(task).map_or(0, |state| state.attempt);
         for start in starts {
+            if self.has_later_runner(&start.host, &start.runner, start.incarnation) {
+                continue;
+            }
             self.late_starts.push(Start {
                 task,
                 attempt,
--- a/crates/schedule/src/engine/restore.rs
+++ b/crates/schedule/src/engine/restore.rs
@@ -169,6 +169,17 @@
         self.runners[runner].leased = true;
     }
 
+    /// Tells whether a host has a later runner than an incarnation of one, under another name.
+    pub(super) fn has_later_runner(&self, host: &str, id: &str, incarnation: u64) -> bool {
+        let is_later = |runner: &Runner| {
+            self.pools[runner.pool].named
+                && *runner.host == *host
+                && *runner.id != *id
+                && runner.incarnation > incarnation
+        };
+        !host.is_empty() && self.runners.values().any(is_later)
+    }
+
     /// Returns the runner of an assignment, which is added if neither that incarnation nor a later one is in the service
     /// list, since the list may be older than the log. A later incarnation may have carried out the start. `None` if the
     /// host has a later runner of another name.
@@ -189,12 +200,7 @@
             }
             return Some(key);
         }
-        let later = |runner: &Runner| {
-            self.pools[runner.pool].named
-                && runner.host == assignment.host
-                && runner.incarnation > assignment.incarnation
-        };
-        if !assignment.host.is_empty() && self.runners.values().any(later) {
+        if self.has_later_runner(&assignment.host, &assignment.runner, assignment.incarnation) {
             if let Some(key) = known {
                 self.end_incarnation(key, Loss::HostReused, now);
             }
--- a/crates/schedule/tests/engine/unanswered.rs
+++ b/crates/schedule/tests/engine/unanswered.rs
@@ -155,6 +155,19 @@
     check(&mut harness, "further_copy");
 }
 
+/// Guards against a later leader that waits although the service list shows another runner on the host.
+#[test]
+fn later_leader_does_not_wait_for_a_runner_whose_host_has_another() {
+    let mut harness = with_unanswered_start(step(1));
+    harness.run_ms(4_000);
+    let runner = harness.runners.get_mut("r0").expect("the runner exists");
+    runner.listed.id = "r0+".into();
+    runner.listed.incarnation += 5_000;
+    harness.take_over();
+    harness.run_ms(200);
+    assert_eq!(harness.running("r1").len(), 1, "{}", harness.timeline());
+}
+
 /// Guards against a gang whose later attempt starts while a member of the earlier one may still start.
 #[test]
 fn gang_waits_for_the_unanswered_start_of_a_member() {
