fix(schedule): reckon with late leases of runners that the former leader had forgotten

A task ran twice, and another one again after it was done: a runner that had gone dark was forgotten by its leader once its runs had ended, the lead changed, and the runner started again under its id. Calls of the former leader were still waiting for it and gave it the longest lease by the clock of the earlier process; the new leader, to which the runner was new, gave its runs up by an ordinary lease when it was cut off.

Neither the log nor the service list tells the new leader of the earlier process.

`lease_of_a_late_poll_to_a_forgotten_runner_is_reckoned_from_the_first_answer` failed before.

--- a/crates/schedule/src/engine/runners.rs
+++ b/crates/schedule/src/engine/runners.rs
@@ -129,12 +129,22 @@
             runner.leased |= former.leased;
             let longest = self.rules.longest_lease_expiry(now);
             self.extend_earlier_lease(key, former.lease_until.min(longest), now);
+        } else if self.may_follow_forgotten(self.runners[key].incarnation) {
+            self.runners[key].accepts_earlier_orders = true;
         }
         self.runner_index.insert(id, key);
         self.confirm_crashes(key, now);
         key
     }
 
+    /// Tells whether orders of the former leader for an earlier incarnation may reach a runner that began then. That leader may have
+    /// forgotten the earlier one, which then neither the log nor the service list shows.
+    fn may_follow_forgotten(&self, incarnation: u64) -> bool {
+        let (began, limit) = (Time::from_millis(incarnation), self.rules.start_limit);
+        let observed = self.former_observed;
+        observed > Time::MIN && began + limit > observed && began < observed + limit
+    }
+
     /// Replaces an incarnation of a runner by another one that has answered in its place.
     pub(super) fn replace_incarnation(
         &mut self,
--- a/crates/schedule/tests/engine/reborn.rs
+++ b/crates/schedule/tests/engine/reborn.rs
@@ -23,11 +23,17 @@
 /// Returns a harness with one runner whose clock has gone on for longer than its longest lease. Only leases are waited for, not
 /// starts without an answer.
 fn with_old_runner() -> Harness {
-    let rules = Rules {
-        lease_limit: Duration::from_secs(10),
+    with_old_runner_and(Rules {
         start_limit: Duration::ZERO,
         long_running_start_limit: Duration::ZERO,
         ..Rules::default()
+    })
+}
+
+fn with_old_runner_and(rules: Rules) -> Harness {
+    let rules = Rules {
+        lease_limit: Duration::from_secs(10),
+        ..rules
     };
     let mut harness = Harness::with_rules(1, rules, &[]);
     harness.task_duration = |_| None;
@@ -438,3 +444,30 @@
         "lease_of_a_late_poll_of_a_former_leader_is_reckoned_from_the_first_answer",
     );
 }
+
+/// Guards against the same fault if the former leader had forgotten the runner, so that neither the log nor the service list tells
+/// the next one of the earlier incarnation.
+#[test]
+fn lease_of_a_late_poll_to_a_forgotten_runner_is_reckoned_from_the_first_answer() {
+    let mut harness = with_old_runner_and(Rules::default());
+    harness.submit(1, vec![step(1)]);
+    harness.run_ms(1_000);
+    harness.faults.hold = Some("poll");
+    harness.run_ms(100);
+    harness.unreachable.insert("r0".to_owned());
+    let gone = Change::Removed("r0".into());
+    harness.engine.update_runner(gone, harness.time());
+    harness.run_ms(4_500);
+    harness.take_over_with(Vec::new());
+    harness.restart_unlisted("r0");
+    harness.add_line("restarted");
+    harness.unreachable.clear();
+    harness.arrive();
+    harness.list_runners();
+    harness.run_ms(300);
+    cut(&mut harness);
+    check(
+        &mut harness,
+        "lease_of_a_late_poll_to_a_forgotten_runner_is_reckoned_from_the_first_answer",
+    );
+}
